The whole path, thin, as separate processes

Cause: nothing stood yet. Built first: router, sidecar, stand-ins for the platform, engines and plain services, and the demo that drives them; the decisions (placement, admission, at most once, retries, crash quarantine, configuration acceptance, load exchange) are pure cores that the daemons run.

Ruled out: fasthttp's client between sidecar and endpoint, since it cannot cancel one read of a streamed body; a POST with an Idempotency-Key on a reused net/http connection, since net/http counts it as replayable; errorx around sentinels, since errors.Is does not see through its decoration.

Before: nothing. First run of the demo: the returning chat missed the cache, because the note to its home left 250 ms later than the chat came back. The note now leaves with the first piece.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+MODULES := fleet router sidecar cardamompulley standin experimenter
+PROGRAMS := router sidecar cardamompulley standin experimenter
+LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+# Tests listed in KNOWN-RED.txt are passed over; CI prints them.
+RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
+SKIP := $(if $(RED),-skip '^($(RED))$$',)
+
+.PHONY: all build demo test prove measure slopes bench fmt lint generate
+
+all: build
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
+
+demo: build
+	@bin/experimenter demo
+
+test: build
+	@CARDAMOMPULLEY_BIN=$(CURDIR)/bin go test $(SKIP) $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+prove: build
+	@bin/experimenter prove
+
+measure: build
+	@bin/experimenter measure
+
+slopes: build
+	@bin/experimenter slopes
+
+bench: build
+	@bin/experimenter bench
+
+fmt:
+	@gofmt -w $(MODULES)
+
+lint:
+	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); echo "gofmt differs"; exit 1; }
+	@for m in $(MODULES); do go vet ./$$m/... || exit 1; done
+	@for m in $(MODULES); do (cd $$m && go run $(LINTER) run ./...) || exit 1; done
+
+generate:
+	buf generate
--- /dev/null
+++ b/cardamompulley/internal/cli/cli.go
@@ -0,0 +1,23 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"github.com/google/subcommands"
+)
+
+// Run runs one command and returns its exit code.
+func Run(arguments []string, out, errs io.Writer) int {
+	flags := flag.NewFlagSet("cardamompulley", flag.ContinueOnError)
+	flags.SetOutput(errs)
+	commander := subcommands.NewCommander(flags, "cardamompulley")
+	commander.Output, commander.Error = out, errs
+	commander.Register(commander.HelpCommand(), "")
+	if err := flags.Parse(arguments); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+
+	return int(commander.Execute(context.Background()))
+}
--- /dev/null
+++ b/cardamompulley/internal/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli holds the commands of operators and callers.
+package cli
--- /dev/null
+++ b/experimenter/internal/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller sends requests to a router as callers do.
+package caller
--- /dev/null
+++ b/experimenter/internal/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli holds the commands of the experimenter.
+package cli
--- /dev/null
+++ b/experimenter/internal/launcher/fleet.go
@@ -0,0 +1,449 @@
+package launcher
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+)
+
+// Tokens of the launched fleet.
+const (
+	CallerToken   = "demo-caller-token"
+	Account       = model.AccountID("demo-account")
+	RouterToken   = "demo-router-token"
+	SidecarToken  = "demo-sidecar-token"
+	OperatorToken = "demo-operator-token"
+)
+
+// Services of the launched fleet.
+const (
+	EngineService = model.ServiceID("coach-llm")
+	PlainService  = model.ServiceID("lane-app")
+	Model         = model.ModelID("coach-1")
+)
+
+// ErrNotReady means that the fleet did not become ready in time.
+var ErrNotReady = errors.New("launcher: fleet not ready")
+
+// Spec says what to start.
+type Spec struct {
+	Programs string
+	Engines  int
+	Plains   int
+	Routers  int
+	Domains  int
+	// EngineFlags are passed to every engine stand-in.
+	EngineFlags []string
+	// Settings are added to the settings of every router and sidecar.
+	Settings map[string]any
+	// Change alters the first document before it is published.
+	Change func(*model.Document)
+	Logs   io.Writer
+}
+
+// Fleet is a running fleet of processes.
+type Fleet struct {
+	Platform  *Process
+	Endpoints map[model.EndpointID]*Process
+	Sidecars  map[model.EndpointID]*Process
+	Routers   []*Process
+
+	spec      Spec
+	folder    string
+	endpoints map[model.EndpointID]model.Endpoint
+	vms       []model.VM
+}
+
+// Launch starts a fleet and returns it when every process is ready.
+func Launch(spec Spec) (*Fleet, error) {
+	folder, err := os.MkdirTemp("", "cardamompulley-")
+	if err != nil {
+		return nil, fmt.Errorf("launcher: %w", err)
+	}
+	f := &Fleet{
+		spec: spec, folder: folder,
+		Endpoints: map[model.EndpointID]*Process{},
+		Sidecars:  map[model.EndpointID]*Process{},
+		endpoints: map[model.EndpointID]model.Endpoint{},
+	}
+	if err := f.start(); err != nil {
+		f.Kill()
+
+		return nil, err
+	}
+
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	var err error
+	f.Platform, err = f.program("platform", "standin", []string{"standin"}, "platform")
+	if err != nil {
+		return err
+	}
+	if err := f.startEndpoints(); err != nil {
+		return err
+	}
+	for n := range f.spec.Routers {
+		if err := f.startRouter(n); err != nil {
+			return err
+		}
+	}
+	if err := f.publish(); err != nil {
+		return err
+	}
+
+	return f.AwaitReady()
+}
+
+func (f *Fleet) program(name, program string, purposes []string, arguments ...string) (*Process, error) {
+	return Start(name, filepath.Join(f.spec.Programs, program), f.spec.Logs, purposes, arguments...)
+}
+
+func (f *Fleet) startEndpoints() error {
+	for n := range f.spec.Engines {
+		flags := append([]string{"engine"}, f.spec.EngineFlags...)
+		id := model.EndpointID(fmt.Sprintf("engine-%d", n+1))
+		e := model.Endpoint{Service: EngineService, Models: []model.ModelID{Model}, MaxRunning: 32}
+		if err := f.startEndpoint(id, n, e, flags); err != nil {
+			return err
+		}
+	}
+	for n := range f.spec.Plains {
+		id := model.EndpointID(fmt.Sprintf("lane-%d", n+1))
+		if err := f.startEndpoint(id, n, model.Endpoint{Service: PlainService}, []string{"plain"}); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func (f *Fleet) domain(n int) model.DomainID {
+	return model.DomainID("domain-" + string(rune('a'+n%f.spec.Domains)))
+}
+
+func (f *Fleet) startEndpoint(id model.EndpointID, n int, e model.Endpoint, flags []string) error {
+	e.Domain = f.domain(n)
+	endpoint, err := f.program(string(id), "standin", []string{"standin"}, flags...)
+	if err != nil {
+		return err
+	}
+	f.Endpoints[id] = endpoint
+	f.endpoints[id] = e
+
+	return f.StartSidecar(id, "127.0.0.1:0")
+}
+
+// StartSidecar starts the sidecar of an endpoint on a work address.
+func (f *Fleet) StartSidecar(id model.EndpointID, work string) error {
+	e := f.endpoints[id]
+	name := "sidecar-" + string(id)
+	path, err := f.settings(name, string(e.Domain), SidecarToken, map[string]any{
+		"endpoint":     id,
+		"endpoint-url": "http://" + f.Endpoints[id].Address("standin"),
+		"work-listen":  work,
+	})
+	if err != nil {
+		return err
+	}
+	p, err := f.program(name, "sidecar", []string{"work", "peer", "operator"}, "--settings", path)
+	if err != nil {
+		return err
+	}
+	f.Sidecars[id] = p
+	e.Address = p.Address("work")
+	f.endpoints[id] = e
+	f.setVM(model.VM{
+		ID: name, Role: model.RoleSidecar, Address: p.Address("peer"), Domain: e.Domain, State: model.VMLive,
+	})
+
+	return nil
+}
+
+func (f *Fleet) startRouter(n int) error {
+	name := fmt.Sprintf("router-%d", n+1)
+	path, err := f.settings(name, string(f.domain(n)), RouterToken, nil)
+	if err != nil {
+		return err
+	}
+	p, err := f.program(name, "router", []string{"callers", "peer", "operator"}, "--settings", path)
+	if err != nil {
+		return err
+	}
+	f.Routers = append(f.Routers, p)
+	f.setVM(model.VM{
+		ID: name, Role: model.RoleRouter, Address: p.Address("peer"), Domain: f.domain(n), State: model.VMLive,
+	})
+
+	return nil
+}
+
+func (f *Fleet) settings(name, domain, token string, more map[string]any) (string, error) {
+	platform := "http://" + f.Platform.Address("standin")
+	s := map[string]any{
+		"process": name, "domain": domain, "token": token,
+		"configuration-service": platform, "vm-list": platform,
+	}
+	for _, extra := range []map[string]any{more, f.spec.Settings} {
+		for k, v := range extra {
+			s[k] = v
+		}
+	}
+	raw, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return "", fmt.Errorf("launcher: %s: %w", name, err)
+	}
+	path := filepath.Join(f.folder, name+".json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return "", fmt.Errorf("launcher: %s: %w", name, err)
+	}
+
+	return path, nil
+}
+
+func (f *Fleet) setVM(vm model.VM) {
+	for i := range f.vms {
+		if f.vms[i].ID == vm.ID {
+			f.vms[i] = vm
+
+			return
+		}
+	}
+	f.vms = append(f.vms, vm)
+}
+
+// SetVMState shows a process as live or leaving in the VM list.
+func (f *Fleet) SetVMState(process string, state model.VMState) error {
+	for i := range f.vms {
+		if f.vms[i].ID == process {
+			f.vms[i].State = state
+		}
+	}
+
+	return f.PublishVMs()
+}
+
+// PublishVMs publishes the VM list.
+func (f *Fleet) PublishVMs() error {
+	_, err := f.platform(http.MethodPut, "/v1/vms", f.vms)
+
+	return err
+}
+
+func digest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+
+	return hex.EncodeToString(sum[:])
+}
+
+// Document returns the first configuration of the fleet.
+func (f *Fleet) Document() model.Document {
+	d := model.Document{
+		Fleet: model.Fleet{
+			Domains:   map[model.DomainID]model.Domain{},
+			Services:  map[model.ServiceID]model.Service{},
+			Endpoints: f.endpoints,
+			ProcessKeys: map[string]model.ProcessKey{
+				"routers":   {Role: model.RoleRouter, TokenSHA256: digest(RouterToken)},
+				"sidecars":  {Role: model.RoleSidecar, TokenSHA256: digest(SidecarToken)},
+				"operators": {Role: model.RoleOperator, TokenSHA256: digest(OperatorToken)},
+			},
+		},
+		Accounts: map[model.AccountID]model.Account{Account: {TokenSHA256: digest(CallerToken)}},
+	}
+	for n := range f.spec.Domains {
+		d.Fleet.Domains[f.domain(n)] = model.Domain{Region: "region-1", State: model.DomainIn}
+	}
+	homes := map[model.ServiceID][]model.EndpointID{}
+	for n := range f.spec.Engines {
+		homes[EngineService] = append(homes[EngineService], model.EndpointID(fmt.Sprintf("engine-%d", n+1)))
+	}
+	for n := range f.spec.Plains {
+		homes[PlainService] = append(homes[PlainService], model.EndpointID(fmt.Sprintf("lane-%d", n+1)))
+	}
+	d.Fleet.Services[EngineService] = model.Service{
+		Kind: model.KindEngine, Homes: []model.HomeGeneration{{Number: 1, Endpoints: homes[EngineService]}},
+	}
+	d.Fleet.Services[PlainService] = model.Service{
+		Kind: model.KindPlain, ClockSkew: 1,
+		Homes: []model.HomeGeneration{{Number: 1, Endpoints: homes[PlainService]}},
+	}
+
+	return d
+}
+
+func (f *Fleet) publish() error {
+	d := f.Document()
+	if f.spec.Change != nil {
+		f.spec.Change(&d)
+	}
+	if _, err := f.Patch(1, d); err != nil {
+		return err
+	}
+
+	return f.PublishVMs()
+}
+
+// Patch hands a merge patch against a version to the platform and returns its answer.
+func (f *Fleet) Patch(base model.Version, merge any) (string, error) {
+	return f.platform(http.MethodPost, "/v1/patches", map[string]any{"base-version": base, "merge": merge})
+}
+
+// SetPlatformFaults throws the fault switches of the platform stand-in.
+func (f *Fleet) SetPlatformFaults(down, stale bool) error {
+	_, err := f.platform(http.MethodPut, "/faults", map[string]bool{"down": down, "stale": stale})
+
+	return err
+}
+
+func (f *Fleet) platform(method, path string, body any) (string, error) {
+	return Send(method, "http://"+f.Platform.Address("standin")+path, body)
+}
+
+// SetFaults throws the fault switches of an endpoint stand-in.
+func (f *Fleet) SetFaults(id model.EndpointID, faults map[string]any) error {
+	_, err := Send(http.MethodPut, "http://"+f.Endpoints[id].Address("standin")+"/faults", faults)
+
+	return err
+}
+
+// Send sends a JSON body and returns the text of a successful answer.
+func Send(method, url string, body any) (string, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return "", fmt.Errorf("launcher: %s: %w", url, err)
+	}
+	request, err := http.NewRequest(method, url, bytes.NewReader(raw))
+	if err != nil {
+		return "", fmt.Errorf("launcher: %s: %w", url, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", fmt.Errorf("launcher: %s: %w", url, err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", fmt.Errorf("launcher: %s: %w", url, err)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return "", fmt.Errorf("launcher: %s: status %d: %s", url, response.StatusCode, text)
+	}
+
+	return string(text), nil
+}
+
+const (
+	readyTimeout = 60 * timekeeper.Second
+	readyPoll    = 50 * timekeeper.Millis(1)
+)
+
+// AwaitReady waits until every process takes work.
+func (f *Fleet) AwaitReady() error {
+	for _, p := range f.processes() {
+		if err := Await(func() bool { return isReady(p) }); err != nil {
+			return fmt.Errorf("%w: %s", ErrNotReady, p.Name)
+		}
+	}
+
+	return nil
+}
+
+// Await polls a condition until it holds or the wait is over.
+func Await(condition func() bool) error {
+	deadline := time.Now().Add(readyTimeout.Duration())
+	for !condition() {
+		if time.Now().After(deadline) {
+			return ErrNotReady
+		}
+		time.Sleep(readyPoll.Duration())
+	}
+
+	return nil
+}
+
+func isReady(p *Process) bool {
+	response, err := http.Get("http://" + p.Address("operator") + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *Fleet) processes() []*Process {
+	processes := append([]*Process{}, f.Routers...)
+	for _, p := range f.Sidecars {
+		processes = append(processes, p)
+	}
+
+	return processes
+}
+
+// Stop ends routers, then sidecars, then stand-ins, and returns the first unclean end.
+func (f *Fleet) Stop() error {
+	var first error
+	all := f.processes()
+	for _, p := range f.Endpoints {
+		all = append(all, p)
+	}
+	all = append(all, f.Platform)
+	for _, p := range all {
+		if err := p.Stop(); err != nil && first == nil {
+			first = err
+		}
+	}
+	_ = os.RemoveAll(f.folder)
+
+	return first
+}
+
+// Kill ends whatever runs, at once.
+func (f *Fleet) Kill() {
+	for _, p := range f.processes() {
+		p.Kill()
+	}
+	for _, p := range f.Endpoints {
+		p.Kill()
+	}
+	if f.Platform != nil {
+		f.Platform.Kill()
+	}
+	_ = os.RemoveAll(f.folder)
+}
+
+// Runs returns how often a key ran on all plain services together.
+func (f *Fleet) Runs(key string) (int, error) {
+	total := 0
+	for id, e := range f.endpoints {
+		if e.Service != PlainService {
+			continue
+		}
+		response, err := http.Get("http://" + f.Endpoints[id].Address("standin") + "/runs")
+		if err != nil {
+			return 0, fmt.Errorf("launcher: %s: %w", id, err)
+		}
+		var runs map[string]int
+		err = json.NewDecoder(response.Body).Decode(&runs)
+		_ = response.Body.Close()
+		if err != nil {
+			return 0, fmt.Errorf("launcher: %s: %w", id, err)
+		}
+		total += runs[key]
+	}
+
+	return total, nil
+}
--- /dev/null
+++ b/fleet/admitter/doc.go
@@ -0,0 +1,2 @@
+// Package admitter decides what one endpoint runs now, later or not at all.
+package admitter
--- /dev/null
+++ b/fleet/admitter/limiter.go
@@ -0,0 +1,167 @@
+package admitter
+
+import "cardamompulley/fleet/timekeeper"
+
+const (
+	coldStart        = 1.0
+	coldGain         = 0.5
+	increase         = 1.0
+	decrease         = 0.8
+	recoldFactor     = 4
+	recoldSamples    = 2
+	baselineShare    = 0.1
+	defaultMax       = 64
+	minBaselineFirst = 20 * timekeeper.Millis(1)
+)
+
+// Sample is what one finished request tells of its endpoint.
+type Sample struct {
+	FirstToken timekeeper.Millis
+	TokenGap   timekeeper.Millis
+	Service    timekeeper.Millis
+	Failed     bool
+}
+
+// Targets are the latencies above which the limit falls.
+type Targets struct {
+	FirstToken timekeeper.Millis
+	TokenGap   timekeeper.Millis
+}
+
+// Limiter learns how many requests an endpoint can run at once.
+type Limiter struct {
+	declared  float64
+	targets   Targets
+	learnt    float64
+	allowed   float64
+	cold      bool
+	baseline  float64
+	slow      int
+	sinceDrop int
+}
+
+// NewLimiter returns a limiter of a cold endpoint that may never run more than the declared number.
+func NewLimiter(declared int, targets Targets) *Limiter {
+	if declared == 0 {
+		declared = defaultMax
+	}
+
+	return &Limiter{
+		declared: float64(declared),
+		targets:  targets,
+		learnt:   float64(declared),
+		allowed:  coldStart,
+		cold:     true,
+	}
+}
+
+// Declare takes on a newly declared maximum; zero means the default.
+func (l *Limiter) Declare(declared int) {
+	if declared == 0 {
+		declared = defaultMax
+	}
+	if float64(declared) == l.declared {
+		return
+	}
+	l.declared = float64(declared)
+	l.learnt = l.declared
+}
+
+// Limit returns how many requests may run now.
+func (l *Limiter) Limit() int {
+	if l.cold {
+		return int(min(l.allowed, l.learnt, l.declared))
+	}
+
+	return int(min(l.learnt, l.declared))
+}
+
+// Cold tells whether the endpoint is still in its cold start.
+func (l *Limiter) Cold() bool {
+	return l.cold
+}
+
+// TurnCold starts the cold start again.
+func (l *Limiter) TurnCold() {
+	l.cold = true
+	l.allowed = coldStart
+	l.slow = 0
+}
+
+// Observe learns from a finished request.
+func (l *Limiter) Observe(s Sample) {
+	if s.Failed {
+		l.shrink()
+
+		return
+	}
+	if l.detectCold(s) {
+		l.TurnCold()
+
+		return
+	}
+	if l.cold {
+		l.grow(s)
+
+		return
+	}
+	l.adapt(s)
+}
+
+func (l *Limiter) grow(s Sample) {
+	if l.over(s) {
+		return
+	}
+	l.allowed += coldGain
+	if l.allowed >= l.learnt {
+		l.cold = false
+	}
+}
+
+func (l *Limiter) adapt(s Sample) {
+	l.sinceDrop++
+	if l.over(s) {
+		if l.sinceDrop >= int(l.learnt) {
+			l.shrink()
+		}
+
+		return
+	}
+	l.learnt = min(l.declared, l.learnt+increase/l.learnt)
+}
+
+func (l *Limiter) shrink() {
+	l.learnt = max(coldStart, l.learnt*decrease)
+	l.sinceDrop = 0
+}
+
+func (l *Limiter) over(s Sample) bool {
+	firstOver := l.targets.FirstToken > 0 && s.FirstToken > l.targets.FirstToken
+	gapOver := l.targets.TokenGap > 0 && s.TokenGap > l.targets.TokenGap
+
+	return firstOver || gapOver
+}
+
+// detectCold compares with the endpoint's own history, so it also sees a cold start that nobody announced.
+func (l *Limiter) detectCold(s Sample) bool {
+	seen := float64(max(s.FirstToken, minBaselineFirst))
+	if l.baseline == 0 {
+		l.baseline = seen
+
+		return false
+	}
+	if l.cold {
+		l.baseline += baselineShare * (seen - l.baseline)
+
+		return false
+	}
+	if seen < recoldFactor*l.baseline {
+		l.slow = 0
+		l.baseline += baselineShare * (seen - l.baseline)
+
+		return false
+	}
+	l.slow++
+
+	return l.slow >= recoldSamples
+}
--- /dev/null
+++ b/fleet/configurator/doc.go
@@ -0,0 +1,2 @@
+// Package configurator checks, splits and accepts numbered configurations.
+package configurator
--- /dev/null
+++ b/fleet/configurator/starter.go
@@ -0,0 +1,62 @@
+package configurator
+
+import "cardamompulley/fleet/timekeeper"
+
+const (
+	startPeers                   = 3
+	startWait                    = 5 * timekeeper.Second
+	pauseLimit                   = 2 * timekeeper.Second
+	wakeWait                     = 2 * timekeeper.Second
+	never      timekeeper.Millis = -1
+)
+
+// Starter holds a process back after a start or a long pause until it has heard the news.
+type Starter struct {
+	since   timekeeper.Millis
+	wait    timekeeper.Millis
+	beat    timekeeper.Millis
+	need    int
+	heard   int
+	service bool
+	ready   bool
+}
+
+// NewStarter returns a starter for a process that starts at the given instant.
+func NewStarter(start timekeeper.Millis) Starter {
+	return Starter{since: start, wait: startWait, beat: never, need: startPeers}
+}
+
+// HeardPeer notes that a peer answered with its version.
+func (s *Starter) HeardPeer() {
+	s.heard++
+}
+
+// HeardService notes that the configuration service answered.
+func (s *Starter) HeardService() {
+	s.service = true
+}
+
+// Beat is called regularly; a gap longer than the pause limit holds the process back again.
+func (s *Starter) Beat(now timekeeper.Millis) {
+	if s.beat != never && now-s.beat > pauseLimit && s.ready {
+		*s = Starter{since: now, wait: wakeWait, need: 1, beat: now}
+	}
+	s.beat = now
+}
+
+// Ready tells whether the news has been heard or the bounded wait is over.
+func (s *Starter) Ready(now timekeeper.Millis, peers int) bool {
+	s.Beat(now)
+	if s.ready {
+		return true
+	}
+	enough := s.heard >= min(s.need, peers)
+	if s.need > 1 {
+		enough = enough && s.service
+	}
+	if (enough && (s.service || s.heard > 0)) || now-s.since >= s.wait {
+		s.ready = true
+	}
+
+	return s.ready
+}
--- /dev/null
+++ b/fleet/holder/doc.go
@@ -0,0 +1,2 @@
+// Package holder remembers which endpoints hold the cached prefix of a chat.
+package holder
--- /dev/null
+++ b/fleet/loader/doc.go
@@ -0,0 +1,2 @@
+// Package loader reads settings files written in JSON with comments and lists every fault in them.
+package loader
--- /dev/null
+++ b/fleet/logger/doc.go
@@ -0,0 +1,2 @@
+// Package logger writes numbered events as structured log lines.
+package logger
--- /dev/null
+++ b/fleet/messenger/doc.go
@@ -0,0 +1,2 @@
+// Package messenger holds the generated messages and clients between the processes of the fleet.
+package messenger
--- /dev/null
+++ b/fleet/model/doc.go
@@ -0,0 +1,2 @@
+// Package model holds the plain structs that the other packages exchange.
+package model
--- /dev/null
+++ b/fleet/placer/placer.go
@@ -0,0 +1,257 @@
+package placer
+
+import (
+	"cardamompulley/fleet/exchanger"
+	"cardamompulley/fleet/model"
+)
+
+// NoMember is the place of no member.
+const NoMember = -1
+
+const (
+	remotePenalty = 1
+	maxExcluded   = 8
+)
+
+// Reason says why a member was chosen.
+type Reason string
+
+// The reasons of a choice.
+const (
+	ReasonHint      Reason = "hint"
+	ReasonHome      Reason = "home"
+	ReasonHolder    Reason = "holder"
+	ReasonFirstTurn Reason = "first-turn"
+	ReasonSpill     Reason = "spill"
+	ReasonNone      Reason = "none"
+)
+
+// Choice is the chosen member; Placed means that the home of the chat need not be asked.
+type Choice struct {
+	Member int
+	Reason Reason
+	Placed bool
+}
+
+// Exclusions are the members that have already turned a request down.
+type Exclusions struct {
+	members [maxExcluded]int
+	count   int
+}
+
+// Add excludes a member.
+func (e *Exclusions) Add(member int) {
+	if e.count < maxExcluded {
+		e.members[e.count] = member
+		e.count++
+	}
+}
+
+// Has tells whether a member is excluded.
+func (e *Exclusions) Has(member int) bool {
+	for _, m := range e.members[:e.count] {
+		if m == member {
+			return true
+		}
+	}
+
+	return false
+}
+
+// Request is what a placement depends on.
+type Request struct {
+	Chat      model.ChatKey
+	FirstTurn bool
+	Hint      int
+	Excluded  Exclusions
+}
+
+// Placer chooses members for one process from its view of the loads.
+type Placer struct {
+	// Blocked tells whether this process itself holds an endpoint, by its index, for unreachable.
+	Blocked func(index int) bool
+
+	domain model.DomainID
+	table  *exchanger.Table
+}
+
+// NewPlacer returns a placer for a process in a failure domain.
+func NewPlacer(domain model.DomainID, table *exchanger.Table) *Placer {
+	return &Placer{Blocked: neverBlocked, domain: domain, table: table}
+}
+
+func neverBlocked(int) bool { return false }
+
+type survey struct {
+	ranked [Choices]int
+	scores [Choices]float64
+	count  int
+	mean   float64
+}
+
+// Usable tells whether a member may be proposed new work.
+func (p *Placer) Usable(g *Group, member int, excluded *Exclusions) bool {
+	m := &g.Members[member]
+	state := p.table.At(m.Index).State
+
+	if !m.in || state == exchanger.StateLeaving || state == exchanger.StateDown {
+		return false
+	}
+
+	return !excluded.Has(member) && !p.Blocked(m.Index)
+}
+
+func (p *Placer) survey(g *Group, chat model.ChatKey, excluded *Exclusions) survey {
+	var s survey
+	total, usable := 0, 0
+	for i := range g.Members {
+		if !p.Usable(g, i, excluded) {
+			continue
+		}
+		total += p.busy(g, i)
+		usable++
+		s.insert(i, g.score(&g.Members[i], chat))
+	}
+	if usable > 0 {
+		s.mean = float64(total) / float64(usable)
+	}
+
+	return s
+}
+
+func (s *survey) insert(member int, score float64) {
+	if s.count == Choices && score <= s.scores[Choices-1] {
+		return
+	}
+	at := min(s.count, Choices-1)
+	for at > 0 && s.scores[at-1] < score {
+		s.ranked[at] = s.ranked[at-1]
+		s.scores[at] = s.scores[at-1]
+		at--
+	}
+	s.ranked[at] = member
+	s.scores[at] = score
+	s.count = min(s.count+1, Choices)
+}
+
+func (p *Placer) busy(g *Group, member int) int {
+	return p.table.At(g.Members[member].Index).Busy
+}
+
+func (p *Placer) cost(g *Group, member int) int {
+	cost := p.busy(g, member)
+	if g.Members[member].Domain != p.domain {
+		cost += remotePenalty
+	}
+
+	return cost
+}
+
+// Mean returns the mean busy count over the usable members.
+func (p *Placer) Mean(g *Group) float64 {
+	var none Exclusions
+	total, usable := 0, 0
+	for i := range g.Members {
+		if p.Usable(g, i, &none) {
+			total += p.busy(g, i)
+			usable++
+		}
+	}
+	if usable == 0 {
+		return 0
+	}
+
+	return float64(total) / float64(usable)
+}
+
+// Limit returns the busy count that the admission bound allows at a mean.
+func (g *Group) Limit(mean float64) int {
+	return max(g.Floor, int(g.Bound*mean))
+}
+
+// Choose is the router's choice: the hint, the least loaded head for a first turn, else the home.
+func (p *Placer) Choose(g *Group, r *Request) Choice {
+	s := p.survey(g, r.Chat, &r.Excluded)
+	if s.count == 0 {
+		return Choice{Member: NoMember, Reason: ReasonNone}
+	}
+	limit := g.Limit(s.mean)
+	if r.Hint != NoMember && p.Usable(g, r.Hint, &r.Excluded) && p.busy(g, r.Hint) < limit {
+		return Choice{Member: r.Hint, Reason: ReasonHint, Placed: true}
+	}
+	if r.FirstTurn {
+		return Choice{Member: p.leastLoaded(g, s.ranked[:s.count]), Reason: ReasonFirstTurn, Placed: true}
+	}
+	if r.Excluded.count > 0 {
+		return Choice{Member: p.leastLoaded(g, s.ranked[:s.count]), Reason: ReasonSpill, Placed: true}
+	}
+
+	return Choice{Member: s.ranked[0], Reason: ReasonHome}
+}
+
+// Home returns the first usable member of a chat's home order, or NoMember.
+func (p *Placer) Home(g *Group, chat model.ChatKey) int {
+	var none Exclusions
+	s := p.survey(g, chat, &none)
+	if s.count == 0 {
+		return NoMember
+	}
+
+	return s.ranked[0]
+}
+
+// Head returns the first usable members of a chat's home order.
+func (p *Placer) Head(g *Group, chat model.ChatKey) ([Choices]int, int) {
+	var none Exclusions
+	s := p.survey(g, chat, &none)
+
+	return s.ranked, s.count
+}
+
+// ChooseAtHome is the home's choice: the least loaded warm holder under the bound, else the least loaded head.
+func (p *Placer) ChooseAtHome(g *Group, chat model.ChatKey, holders []model.EndpointID) Choice {
+	var none Exclusions
+	s := p.survey(g, chat, &none)
+	if s.count == 0 {
+		return Choice{Member: NoMember, Reason: ReasonNone}
+	}
+	limit := g.Limit(s.mean)
+	best := NoMember
+	for _, id := range holders {
+		m := g.Find(id)
+		if m == NoMember || !p.Usable(g, m, &none) || p.busy(g, m) >= limit {
+			continue
+		}
+		if best == NoMember || p.busy(g, m) < p.busy(g, best) {
+			best = m
+		}
+	}
+	if best != NoMember {
+		return Choice{Member: best, Reason: ReasonHolder, Placed: true}
+	}
+
+	return Choice{Member: p.leastLoaded(g, s.ranked[:s.count]), Reason: ReasonSpill, Placed: true}
+}
+
+// NextBest names another member for a request that one member has turned away, or NoMember.
+func (p *Placer) NextBest(g *Group, chat model.ChatKey, away int) int {
+	var excluded Exclusions
+	excluded.Add(away)
+	s := p.survey(g, chat, &excluded)
+	if s.count == 0 {
+		return NoMember
+	}
+
+	return p.leastLoaded(g, s.ranked[:s.count])
+}
+
+func (p *Placer) leastLoaded(g *Group, members []int) int {
+	best := members[0]
+	for _, m := range members[1:] {
+		if p.cost(g, m) < p.cost(g, best) {
+			best = m
+		}
+	}
+
+	return best
+}
--- /dev/null
+++ b/fleet/retrier/doc.go
@@ -0,0 +1,2 @@
+// Package retrier decides whether a failed attempt may be followed by another.
+package retrier
--- /dev/null
+++ b/fleet/timekeeper/doc.go
@@ -0,0 +1,2 @@
+// Package timekeeper holds the clock that every other package takes its time from.
+package timekeeper
--- /dev/null
+++ b/fleet/tracer/doc.go
@@ -0,0 +1,2 @@
+// Package tracer sets up traces with a span for each hop.
+package tracer
--- /dev/null
+++ b/router/internal/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli starts and stops the router process.
+package cli
--- /dev/null
+++ b/router/internal/dispatcher/answer.go
@@ -0,0 +1,170 @@
+package dispatcher
+
+import (
+	"errors"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"cardamompulley/fleet/logger"
+	"cardamompulley/fleet/messenger"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+)
+
+// Errors that callers test with errors.Is.
+var (
+	// ErrIncomplete means that an answer ended before its verified end mark.
+	ErrIncomplete = errors.New("dispatcher: answer incomplete")
+	// ErrTooLarge means that a whole answer is over the size limit.
+	ErrTooLarge = errors.New("dispatcher: answer too large")
+)
+
+const maxWholeBytes = 16 << 20
+
+// Answer is an answer that has begun; pieces follow until a verified end.
+type Answer struct {
+	Endpoint model.EndpointID
+	Head     *messenger.Head
+	Cached   model.Tokens
+
+	dispatcher *Dispatcher
+	attempt    string
+	id         model.EndpointID
+	stream     *connect.ServerStreamForClient[messenger.RunEvent]
+	cancel     func()
+	verifier   verifier
+}
+
+func newAnswer(d *Dispatcher, r *Request, t target, s *connect.ServerStreamForClient[messenger.RunEvent], cancel func()) *Answer {
+	return &Answer{
+		dispatcher: d,
+		attempt:    r.Run.AttemptId,
+		id:         t.id,
+		stream:     s,
+		cancel:     cancel,
+		verifier:   newVerifier(),
+	}
+}
+
+// start reads the first event: the head of an answer, or a refusal.
+func (a *Answer) start(first *messenger.RunEvent) *model.Refusal {
+	if first.AttemptId != a.attempt {
+		a.reportCrossed()
+
+		return model.NewRefusal(model.CodeEndpointFailed, "an answer to another attempt arrived").
+			WithOutcome(model.OutcomeUnknown).WithRetryAfter(timekeeper.Second)
+	}
+	if r := first.GetRefusal(); r != nil {
+		return &model.Refusal{
+			Code:       model.Code(r.Code),
+			Detail:     r.Detail,
+			Outcome:    model.Outcome(r.Outcome),
+			RetryAfter: timekeeper.Millis(r.RetryAfterMs),
+			Next:       model.EndpointID(r.NextEndpoint),
+			Final:      r.Final,
+		}
+	}
+	a.Head = first.GetHead()
+	if a.Head == nil {
+		return model.NewRefusal(model.CodeEndpointFailed, "the answer has no head").
+			WithOutcome(model.OutcomeUnknown).WithRetryAfter(timekeeper.Second)
+	}
+	a.Endpoint = model.EndpointID(a.Head.Endpoint)
+
+	return nil
+}
+
+func (a *Answer) reportCrossed() {
+	crossed.Inc()
+	a.dispatcher.follower.Log.Write(logger.EventCrossedAnswer, logger.String("attempt", a.attempt))
+}
+
+// Next returns the next piece; done is true after a verified end, and the error is ErrIncomplete for any other end.
+func (a *Answer) Next() (piece []byte, done bool, err error) {
+	for a.stream.Receive() {
+		e := a.stream.Msg()
+		if e.AttemptId != a.attempt {
+			a.reportCrossed()
+
+			continue
+		}
+		a.dispatcher.observe(a.id, e.Load)
+		if p := e.GetPiece(); p != nil {
+			fresh, err := a.verifier.accept(p)
+			if err != nil {
+				return nil, false, err
+			}
+			if !fresh {
+				continue
+			}
+
+			return p.Data, false, nil
+		}
+		if end := e.GetEnd(); end != nil {
+			a.Cached = model.Tokens(end.CachedTokens)
+
+			return nil, true, a.verifier.end(end)
+		}
+		if e.GetRefusal() != nil {
+			return nil, false, ErrIncomplete
+		}
+	}
+
+	return nil, false, ErrIncomplete
+}
+
+// Whole gathers the complete body, or returns ErrIncomplete or ErrTooLarge.
+func (a *Answer) Whole() ([]byte, error) {
+	var body []byte
+	for {
+		piece, done, err := a.Next()
+		if err != nil {
+			return nil, err
+		}
+		if done {
+			return body, nil
+		}
+		body = append(body, piece...)
+		if len(body) > maxWholeBytes {
+			return nil, ErrTooLarge
+		}
+	}
+}
+
+// Close ends the attempt; an endpoint that still runs it is told to stop.
+func (a *Answer) Close() {
+	a.cancel()
+	_ = a.stream.Close()
+}
+
+// verifier checks that the pieces of an answer are all there, once each and in order.
+type verifier struct {
+	next   uint64
+	digest *xxhash.Digest
+}
+
+func newVerifier() verifier {
+	return verifier{next: 1, digest: xxhash.New()}
+}
+
+func (v *verifier) accept(p *messenger.Piece) (fresh bool, err error) {
+	if p.Number < v.next {
+		return false, nil
+	}
+	if p.Number > v.next {
+		return false, ErrIncomplete
+	}
+	v.next++
+	_, _ = v.digest.Write(p.Data)
+
+	return true, nil
+}
+
+func (v *verifier) end(e *messenger.End) error {
+	if e.Pieces != v.next-1 || e.Digest != v.digest.Sum64() {
+		return ErrIncomplete
+	}
+
+	return nil
+}
--- /dev/null
+++ b/router/internal/dispatcher/doc.go
@@ -0,0 +1,2 @@
+// Package dispatcher sends one request to an endpoint and, where that is safe, to another.
+package dispatcher
--- /dev/null
+++ b/router/internal/dispatcher/pause.go
@@ -0,0 +1,20 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"cardamompulley/fleet/timekeeper"
+)
+
+// pause waits and tells whether the context is still alive.
+func pause(ctx context.Context, span timekeeper.Millis) bool {
+	t := time.NewTimer(span.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/router/internal/parser/doc.go
@@ -0,0 +1,2 @@
+// Package parser reads the requests of callers.
+package parser
--- /dev/null
+++ b/router/internal/server/doc.go
@@ -0,0 +1,2 @@
+// Package server answers callers over HTTP.
+package server
--- /dev/null
+++ b/router/internal/server/problem.go
@@ -0,0 +1,97 @@
+package server
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/gofiber/fiber/v3"
+
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+)
+
+const problemType = "application/problem+json"
+
+// problem is the body of a refusal (RFC 9457).
+type problem struct {
+	Type       string            `json:"type"`
+	Title      string            `json:"title"`
+	Status     int               `json:"status"`
+	Detail     string            `json:"detail"`
+	Code       model.Code        `json:"code"`
+	Outcome    model.Outcome     `json:"outcome"`
+	RetryAfter timekeeper.Millis `json:"retry-after-ms,omitempty"`
+}
+
+var statusByCode = map[model.Code]int{
+	model.CodeBadRequest:         fiber.StatusBadRequest,
+	model.CodeBodyTooLarge:       fiber.StatusRequestEntityTooLarge,
+	model.CodeUnauthorized:       fiber.StatusUnauthorized,
+	model.CodeForbidden:          fiber.StatusForbidden,
+	model.CodeUnknownModel:       fiber.StatusNotFound,
+	model.CodeUnknownService:     fiber.StatusNotFound,
+	model.CodeKeyRequired:        fiber.StatusBadRequest,
+	model.CodeKeyConflict:        fiber.StatusUnprocessableEntity,
+	model.CodeKeyInProgress:      fiber.StatusConflict,
+	model.CodeKeyUnprovable:      fiber.StatusConflict,
+	model.CodeCondemned:          fiber.StatusUnprocessableEntity,
+	model.CodeEndpointFailed:     fiber.StatusBadGateway,
+	model.CodeIncomplete:         fiber.StatusBadGateway,
+	model.CodeUnreachable:        fiber.StatusBadGateway,
+	model.CodeDeadline:           fiber.StatusGatewayTimeout,
+	model.CodePredecessorUnknown: fiber.StatusServiceUnavailable,
+}
+
+func statusOf(code model.Code) int {
+	if status, ok := statusByCode[code]; ok {
+		return status
+	}
+
+	return fiber.StatusServiceUnavailable
+}
+
+func newProblem(status int, r *model.Refusal) problem {
+	return problem{
+		Type:       "about:blank",
+		Title:      string(r.Code),
+		Status:     status,
+		Detail:     r.Detail,
+		Code:       r.Code,
+		Outcome:    r.Outcome,
+		RetryAfter: r.RetryAfter,
+	}
+}
+
+// refuse answers with a refusal by the router itself, which cannot tell what became of an earlier send of the same key.
+func (v *Server) refuse(c fiber.Ctx, r *model.Refusal) error {
+	if c.Get(keyHeader) != "" {
+		r.Outcome = model.OutcomeUnknown
+	}
+
+	return v.sendProblem(c, statusOf(r.Code), r)
+}
+
+// sendProblem answers with the problem document of a refusal.
+func (v *Server) sendProblem(c fiber.Ctx, status int, r *model.Refusal) error {
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + timekeeper.Second - 1) / timekeeper.Second
+		c.Set(fiber.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
+	}
+	body, err := json.Marshal(newProblem(status, r))
+	if err != nil {
+		return err
+	}
+	c.Set(fiber.HeaderContentType, problemType)
+
+	return c.Status(status).Send(body)
+}
+
+// errorEvent is the server-sent event that ends a stream which cannot be completed.
+func errorEvent(r *model.Refusal) []byte {
+	body, err := json.Marshal(newProblem(statusOf(r.Code), r))
+	if err != nil {
+		body = []byte(`{"code":"incomplete"}`)
+	}
+
+	return append(append([]byte("event: error\ndata: "), body...), "\n\n"...)
+}
--- /dev/null
+++ b/router/internal/server/service.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"strings"
+
+	"github.com/gofiber/fiber/v3"
+
+	"cardamompulley/fleet/messenger"
+	"cardamompulley/fleet/model"
+	"cardamompulley/router/internal/dispatcher"
+	"cardamompulley/router/internal/parser"
+)
+
+// handleService serves a call to a plain service.
+func (v *Server) handleService(c fiber.Ctx) error {
+	id := model.ServiceID(strings.Clone(c.Params("service")))
+	service, ok := v.follower.Snapshot().Fleet.Services[id]
+	if !ok || service.Kind != model.KindPlain {
+		return v.refuse(c, model.NewRefusal(model.CodeUnknownService, "no plain service has the name "+string(id)))
+	}
+	b, err := v.readBounds(c)
+	if err != nil {
+		return v.refuse(c, model.NewRefusal(model.CodeBadRequest, err.Error()))
+	}
+	body := bytes.Clone(c.Body())
+	if service.MaxBodyBytes > 0 && len(body) > service.MaxBodyBytes {
+		return v.refuse(c, model.NewRefusal(model.CodeBodyTooLarge, "the body is over the limit of the service"))
+	}
+	method := strings.Clone(c.Method())
+	path := "/" + strings.Clone(c.Params("*"))
+	idempotent := isIdempotent(service, method, path)
+	if !idempotent && b.key == "" {
+		return v.refuse(c, model.NewRefusal(model.CodeKeyRequired,
+			method+" "+path+" may run only once: send an "+keyHeader+", a UUIDv7 for best results"))
+	}
+	if idempotent {
+		b.key = ""
+	}
+	if query := string(c.Request().URI().QueryString()); query != "" {
+		path += "?" + query
+	}
+	account := accountOf(c)
+	fingerprint := parser.FingerprintCall(account, id, method, path, body)
+	request := &dispatcher.Request{Hint: b.hint, Deadline: b.deadline, Run: &messenger.RunRequest{
+		Account:        string(account),
+		Service:        string(id),
+		Chat:           uint64(fingerprint),
+		Method:         method,
+		Path:           path,
+		ContentType:    strings.Clone(c.Get(fiber.HeaderContentType)),
+		Body:           body,
+		IdempotencyKey: b.key,
+		Priority:       b.priority,
+		Fingerprint:    uint64(fingerprint),
+		FirstTurn:      true,
+		Idempotent:     idempotent,
+	}}
+	ctx, span := v.tracer.Start(context.Background(), "router.service", traceHeaders(c))
+	answer, refusal := v.dispatcher.Dispatch(ctx, request)
+	if refusal != nil {
+		span.End(refusal)
+
+		return v.sendProblem(c, statusOf(refusal.Code), refusal)
+	}
+	span.Note("endpoint", string(answer.Endpoint))
+
+	return v.sendWhole(c, answer, span)
+}
+
+// isIdempotent tells whether a call may run more than once: safe methods, and paths that operators declare.
+func isIdempotent(s model.Service, method, path string) bool {
+	if method == fiber.MethodGet || method == fiber.MethodHead || method == fiber.MethodOptions {
+		return true
+	}
+	for _, p := range s.IdempotentPaths {
+		if path == p || strings.HasPrefix(path, strings.TrimSuffix(p, "/")+"/") {
+			return true
+		}
+	}
+
+	return false
+}
--- /dev/null
+++ b/router/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings holds the settings table of the router.
+package settings
--- /dev/null
+++ b/router/main.go
@@ -0,0 +1,12 @@
+// Command router is the HTTP front between callers and endpoints.
+package main
+
+import (
+	"os"
+
+	"cardamompulley/router/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/sidecar/internal/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli starts and stops the sidecar process.
+package cli
--- /dev/null
+++ b/sidecar/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings holds the settings table of the sidecar.
+package settings
--- /dev/null
+++ b/sidecar/internal/worker/doc.go
@@ -0,0 +1,2 @@
+// Package worker runs every request of one endpoint through a chain of filters.
+package worker
--- /dev/null
+++ b/standin/internal/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli starts one stand-in.
+package cli
