At most once, configuration and drain proved by random schedules; three faults found and mended

Cause of each, found by the schedules: 1. A stop declared by operators was dated by the wall clock. Stops are now dated by the monotonic clock of the incarnation, on top of a floor that never falls. 2. A gap between two beats no longer counts as waiting. 3. One peer heard three times counted as three peers, so a restarted process could come back on an old version. Peers now count once; and a turn tries three peers until one answers, since in a partition two thirds of single tries of a six-process fleet went to the other side.

Ruled out: the checker being too strict in the drain cases.

--- a/fleet/configurator/starter.go
+++ b/fleet/configurator/starter.go
@@ -1,6 +1,10 @@
 package configurator
 
-import "cardamompulley/fleet/timekeeper"
+import (
+	"slices"
+
+	"cardamompulley/fleet/timekeeper"
+)
 
 const (
 	startPeers                   = 3
@@ -16,7 +20,7 @@
 	wait    timekeeper.Millis
 	beat    timekeeper.Millis
 	need    int
-	heard   int
+	heard   []string
 	service bool
 	ready   bool
 }
@@ -26,9 +30,11 @@
 	return Starter{since: start, wait: startWait, beat: never, need: startPeers}
 }
 
-// HeardPeer notes that a peer answered with its version.
-func (s *Starter) HeardPeer() {
-	s.heard++
+// HeardPeer notes that a peer answered and that its configuration, if it was newer, is in force here.
+func (s *Starter) HeardPeer(id string) {
+	if !s.ready && len(s.heard) < s.need && !slices.Contains(s.heard, id) {
+		s.heard = append(s.heard, id)
+	}
 }
 
 // HeardService notes that the configuration service answered.
@@ -36,10 +42,15 @@
 	s.service = true
 }
 
-// Beat is called regularly; a gap longer than the pause limit holds the process back again.
+// Beat is called regularly; a gap longer than the pause limit holds the process back again, or for longer.
 func (s *Starter) Beat(now timekeeper.Millis) {
-	if s.beat != never && now-s.beat > pauseLimit && s.ready {
-		*s = Starter{since: now, wait: wakeWait, need: 1, beat: now}
+	gap := now - s.beat
+	paused := s.beat != never && gap > pauseLimit
+	switch {
+	case paused && s.ready:
+		*s = Starter{since: now, wait: wakeWait, need: 1}
+	case paused:
+		s.since += gap
 	}
 	s.beat = now
 }
@@ -50,11 +61,11 @@
 	if s.ready {
 		return true
 	}
-	enough := s.heard >= min(s.need, peers)
+	enough := len(s.heard) >= min(s.need, peers)
 	if s.need > 1 {
 		enough = enough && s.service
 	}
-	if (enough && (s.service || s.heard > 0)) || now-s.since >= s.wait {
+	if (enough && (s.service || len(s.heard) > 0)) || now-s.since >= s.wait {
 		s.ready = true
 	}
 
--- a/fleet/deduplicator/deduplicator.go
+++ b/fleet/deduplicator/deduplicator.go
@@ -120,12 +120,7 @@
 	bytes      int
 	maxRecords int
 	maxBytes   int
-	stopsSeen  map[stop]instant
-}
-
-type instant struct {
-	wall timekeeper.Millis
-	now  timekeeper.Millis
+	stopsSeen  map[stop]timekeeper.Millis
 }
 
 // NewDeduplicator returns an empty table of a new incarnation.
@@ -138,7 +133,7 @@
 		records:    map[Key]*record{},
 		maxRecords: DefaultMaxRecords,
 		maxBytes:   DefaultMaxBytes,
-		stopsSeen:  map[stop]instant{},
+		stopsSeen:  map[stop]timekeeper.Millis{},
 	}
 }
 
@@ -149,7 +144,7 @@
 
 // Observe notes when this incarnation first learnt that an earlier home is declared stopped.
 func (d *Deduplicator) Observe(homes []model.HomeGeneration) {
-	seen := instant{wall: d.clock.Wall(), now: d.clock.Now()}
+	seen := d.clock.Now()
 	for _, g := range homes {
 		for _, e := range g.Stopped {
 			s := stop{generation: g.Number, endpoint: e}
--- /dev/null
+++ b/fleet/deduplicator/deduplicator_test.go
@@ -0,0 +1,143 @@
+package deduplicator
+
+import (
+	"testing"
+
+	"github.com/google/uuid"
+
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+)
+
+const (
+	testSkew  = 5 * timekeeper.Second
+	testStart = 1000 * timekeeper.Hour
+)
+
+var testPolicy = Policy{Skew: testSkew, ResendWindow: timekeeper.Minute, Retention: timekeeper.Hour}
+
+func keyAt(t *testing.T, at timekeeper.Millis) Key {
+	t.Helper()
+	var u uuid.UUID
+	for i := range 6 {
+		u[i] = byte(at >> (8 * (5 - i)))
+	}
+	u[6], u[8] = 0x70, 0x80
+
+	return Key{Account: "a", Service: "s", Key: model.IdempotencyKey(u.String())}
+}
+
+func homesOf(generations ...[]model.EndpointID) []model.HomeGeneration {
+	var homes []model.HomeGeneration
+	for n, endpoints := range generations {
+		homes = append(homes, model.HomeGeneration{Number: uint64(n + 1), Endpoints: endpoints})
+	}
+
+	return homes
+}
+
+func TestBeginFaultTable(t *testing.T) {
+	own := homesOf([]model.EndpointID{"self"})
+	moved := homesOf([]model.EndpointID{"old"}, []model.EndpointID{"self"})
+	stopped := homesOf([]model.EndpointID{"old"}, []model.EndpointID{"self"})
+	stopped[0].Stopped = []model.EndpointID{"old"}
+	cases := []struct {
+		name   string
+		homes  []model.HomeGeneration
+		before func(d *Deduplicator, c *timekeeper.Manual)
+		after  timekeeper.Millis
+		action Action
+		code   model.Code
+	}{
+		{"key made after the start", own, nil, timekeeper.Minute, ActionRun, ""},
+		{"key made before the start", own, nil, -timekeeper.Minute, ActionRefuse, model.CodeKeyUnprovable},
+		{"key made within the skew of the start", own, nil, testSkew - 1, ActionRefuse, model.CodeKeyUnprovable},
+		{"key from the future", own, nil, timekeeper.Hour, ActionRefuse, model.CodeKeyUnprovable},
+		{"another endpoint is the home", homesOf([]model.EndpointID{"other"}), nil, timekeeper.Minute, ActionRefuse, model.CodeNotHome},
+		{"no homes declared", nil, nil, timekeeper.Minute, ActionRefuse, model.CodeNotHome},
+		{"home moved here", moved, nil, timekeeper.Minute, ActionAsk, ""},
+		{"old home declared stopped before the key", stopped, func(d *Deduplicator, _ *timekeeper.Manual) {
+			d.Observe(stopped)
+		}, timekeeper.Minute, ActionRun, ""},
+		{"old home declared stopped after the key", stopped, func(d *Deduplicator, c *timekeeper.Manual) {
+			c.Advance(timekeeper.Minute)
+			d.Observe(stopped)
+		}, timekeeper.Minute, ActionRefuse, model.CodeKeyUnprovable},
+		{"stop seen by a clock that had jumped back", stopped, func(d *Deduplicator, c *timekeeper.Manual) {
+			c.Advance(timekeeper.Minute)
+			c.JumpWall(-50 * timekeeper.Second)
+			d.Observe(stopped)
+			c.JumpWall(50 * timekeeper.Second)
+		}, 40 * timekeeper.Second, ActionRefuse, model.CodeKeyUnprovable},
+		{"clock jumped forward over the key", own, func(_ *Deduplicator, c *timekeeper.Manual) {
+			c.JumpWall(timekeeper.Hour)
+		}, timekeeper.Minute, ActionRefuse, model.CodeKeyUnprovable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			clock := timekeeper.NewManual(testStart)
+			d := NewDeduplicator("self", clock.Clock())
+			if c.before != nil {
+				c.before(d, clock)
+			}
+			clock.Advance(2 * timekeeper.Minute)
+			got := d.Begin(keyAt(t, testStart+c.after), 1, c.homes, testPolicy)
+			if got.Action != c.action {
+				t.Fatalf("action = %s, want %s (%+v)", got.Action, c.action, got.Refusal)
+			}
+			if c.code != "" && got.Refusal.Code != c.code {
+				t.Fatalf("code = %s, want %s", got.Refusal.Code, c.code)
+			}
+			if got.Refusal != nil && got.Refusal.Outcome != model.OutcomeUnknown {
+				t.Fatalf("outcome = %s", got.Refusal.Outcome)
+			}
+		})
+	}
+}
+
+func TestRepeatedSends(t *testing.T) {
+	clock := timekeeper.NewManual(testStart)
+	d := NewDeduplicator("self", clock.Clock())
+	clock.Advance(timekeeper.Minute)
+	homes := homesOf([]model.EndpointID{"self"})
+	k := keyAt(t, testStart+timekeeper.Minute)
+	want := func(body model.Digest, action Action) Decision {
+		t.Helper()
+		got := d.Begin(k, body, homes, testPolicy)
+		if got.Action != action {
+			t.Fatalf("action = %s, want %s", got.Action, action)
+		}
+
+		return got
+	}
+	want(1, ActionRun)
+	want(1, ActionWait)
+	want(2, ActionRefuse)
+	d.FinishRan(k, Answer{Status: 201, Body: []byte("booked")})
+	if got := want(1, ActionReplay); string(got.Answer.Body) != "booked" {
+		t.Fatalf("answer = %q", got.Answer.Body)
+	}
+	if got := want(2, ActionRefuse); got.Refusal.Outcome != model.OutcomeRan {
+		t.Fatalf("outcome = %s", got.Refusal.Outcome)
+	}
+	clock.Advance(2 * timekeeper.Hour)
+	if d.Evict(10) != 1 {
+		t.Fatal("an expired record stayed")
+	}
+	if got := want(1, ActionRefuse); got.Refusal.Code != model.CodeKeyUnprovable {
+		t.Fatalf("code = %s", got.Refusal.Code)
+	}
+}
+
+func TestTableStaysBounded(t *testing.T) {
+	clock := timekeeper.NewManual(testStart)
+	d := NewDeduplicator("self", clock.Clock())
+	d.maxRecords = 1
+	clock.Advance(timekeeper.Minute)
+	homes := homesOf([]model.EndpointID{"self"})
+	d.Begin(keyAt(t, testStart+timekeeper.Minute), 1, homes, testPolicy)
+	got := d.Begin(keyAt(t, testStart+timekeeper.Minute+1), 1, homes, testPolicy)
+	if got.Action != ActionRefuse || got.Refusal.Code != model.CodeKeyTableFull || d.Records() != 1 {
+		t.Fatalf("got %+v with %d records", got, d.Records())
+	}
+}
--- a/fleet/deduplicator/proof.go
+++ b/fleet/deduplicator/proof.go
@@ -13,6 +13,11 @@
 	d.floor = max(d.floor, d.clock.Wall()-uptime)
 }
 
+// floorAt is the latest that the wall clock can have stood at an instant of this incarnation, whatever jumps came since.
+func (d *Deduplicator) floorAt(now timekeeper.Millis) timekeeper.Millis {
+	return d.floor + now - d.started
+}
+
 // provable tells whether no earlier incarnation and no stopped home can have begun the key.
 func (d *Deduplicator) provable(k Key, p Policy, stopped []stop) bool {
 	created, timed := CreatedAt(k.Key)
@@ -21,7 +26,7 @@
 	}
 	since := d.started
 	for _, s := range stopped {
-		since = max(since, d.stopsSeen[s].now)
+		since = max(since, d.stopsSeen[s])
 	}
 
 	return d.clock.Now()-since > p.ResendWindow
@@ -30,7 +35,7 @@
 func (d *Deduplicator) provableByTime(created timekeeper.Millis, p Policy, stopped []stop) bool {
 	floor := d.floor
 	for _, s := range stopped {
-		floor = max(floor, d.stopsSeen[s].wall)
+		floor = max(floor, d.floorAt(d.stopsSeen[s]))
 	}
 	wall := d.clock.Wall()
 	fromFuture := created > wall+p.Skew
--- a/fleet/follower/peer.go
+++ b/fleet/follower/peer.go
@@ -18,7 +18,12 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
-const compressMinBytes = 512
+const (
+	// PeerTries is how many peers a turn tries until one answers.
+	PeerTries = 3
+
+	compressMinBytes = 512
+)
 
 // ErrNotAdmitted is returned to a process whose token the configuration does not name.
 var ErrNotAdmitted = errors.New("follower: process not admitted")
@@ -26,8 +31,10 @@
 func (f *Follower) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.beat()
-		if vm, ok := f.choosePeer(); ok {
-			f.exchangeWith(ctx, vm)
+		for _, vm := range f.choosePeers() {
+			if f.exchangeWith(ctx, vm) {
+				break
+			}
 		}
 		f.waitTurn(ctx)
 	}
@@ -49,7 +56,8 @@
 	}
 }
 
-func (f *Follower) choosePeer() (model.VM, bool) {
+// choosePeers returns the peers to try in turn until one answers, none while the budget is spent.
+func (f *Follower) choosePeers() []model.VM {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
@@ -57,17 +65,17 @@
 	f.budget.Spend(int(total-f.spent), now)
 	f.spent = total
 	if !f.budget.Allows(now) {
-		return model.VM{}, false
+		return nil
 	}
-	i := f.chooser.Pick(f.vms, f.self.ID)
-	if i < 0 {
-		return model.VM{}, false
+	var peers []model.VM
+	for _, i := range f.chooser.Pick(f.vms, f.self.ID, PeerTries) {
+		peers = append(peers, f.vms[i])
 	}
 
-	return f.vms[i], true
+	return peers
 }
 
-func (f *Follower) exchangeWith(ctx context.Context, vm model.VM) {
+func (f *Follower) exchangeWith(ctx context.Context, vm model.VM) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout.Duration())
 	defer cancel()
 	client := messengerconnect.NewPeerClient(f.peers, "http://"+vm.Address,
@@ -80,14 +88,16 @@
 	if err != nil {
 		f.Log.Write(logger.EventPeerFailed, logger.String("peer", vm.ID), logger.Err(err))
 
-		return
+		return false
 	}
-	f.mu.Lock()
-	f.acceptor.Starter.HeardPeer()
-	f.mu.Unlock()
 	if f.learn(response) {
 		f.fetchFrom(ctx, client)
 	}
+	f.mu.Lock()
+	f.acceptor.Starter.HeardPeer(vm.ID)
+	f.mu.Unlock()
+
+	return true
 }
 
 // news describes this process's view; the caller holds the lock.
--- a/router/internal/dispatcher/answer.go
+++ b/router/internal/dispatcher/answer.go
@@ -4,12 +4,12 @@
 	"errors"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/messenger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/fleet/verifier"
 )
 
 // Errors that callers test with errors.Is.
@@ -33,7 +33,7 @@
 	id         model.EndpointID
 	stream     *connect.ServerStreamForClient[messenger.RunEvent]
 	cancel     func()
-	verifier   verifier
+	verifier   *verifier.Verifier
 }
 
 func newAnswer(d *Dispatcher, r *Request, t target, s *connect.ServerStreamForClient[messenger.RunEvent], cancel func()) *Answer {
@@ -43,13 +43,13 @@
 		id:         t.id,
 		stream:     s,
 		cancel:     cancel,
-		verifier:   newVerifier(),
+		verifier:   verifier.NewVerifier(r.Run.AttemptId),
 	}
 }
 
 // start reads the first event: the head of an answer, or a refusal.
 func (a *Answer) start(first *messenger.RunEvent) *model.Refusal {
-	if first.AttemptId != a.attempt {
+	if !a.verifier.Own(first.AttemptId) {
 		a.reportCrossed()
 
 		return model.NewRefusal(model.CodeEndpointFailed, "an answer to another attempt arrived").
@@ -84,27 +84,29 @@
 func (a *Answer) Next() (piece []byte, done bool, err error) {
 	for a.stream.Receive() {
 		e := a.stream.Msg()
-		if e.AttemptId != a.attempt {
+		if !a.verifier.Own(e.AttemptId) {
 			a.reportCrossed()
 
 			continue
 		}
 		a.dispatcher.observe(a.id, e.Load)
 		if p := e.GetPiece(); p != nil {
-			fresh, err := a.verifier.accept(p)
-			if err != nil {
-				return nil, false, err
-			}
-			if !fresh {
+			switch a.verifier.Piece(e.AttemptId, p.Number, p.Data) {
+			case verifier.VerdictTake:
+				return p.Data, false, nil
+			case verifier.VerdictGap:
+				return nil, false, ErrIncomplete
+			default:
 				continue
 			}
-
-			return p.Data, false, nil
 		}
 		if end := e.GetEnd(); end != nil {
 			a.Cached = model.Tokens(end.CachedTokens)
+			if a.verifier.End(end.Pieces, model.Digest(end.Digest)) != nil {
+				return nil, false, ErrIncomplete
+			}
 
-			return nil, true, a.verifier.end(end)
+			return nil, true, nil
 		}
 		if e.GetRefusal() != nil {
 			return nil, false, ErrIncomplete
@@ -137,34 +139,3 @@
 	a.cancel()
 	_ = a.stream.Close()
 }
-
-// verifier checks that the pieces of an answer are all there, once each and in order.
-type verifier struct {
-	next   uint64
-	digest *xxhash.Digest
-}
-
-func newVerifier() verifier {
-	return verifier{next: 1, digest: xxhash.New()}
-}
-
-func (v *verifier) accept(p *messenger.Piece) (fresh bool, err error) {
-	if p.Number < v.next {
-		return false, nil
-	}
-	if p.Number > v.next {
-		return false, ErrIncomplete
-	}
-	v.next++
-	_, _ = v.digest.Write(p.Data)
-
-	return true, nil
-}
-
-func (v *verifier) end(e *messenger.End) error {
-	if e.Pieces != v.next-1 || e.Digest != v.digest.Sum64() {
-		return ErrIncomplete
-	}
-
-	return nil
-}
