Faults on real processes; a burst on a cold fleet, a second SIGTERM and a lost reason mended

Causes, each seen red first: 1. Eight chats at once on two cold engines were all refused: a cold endpoint refused everything above its trickle. It now queues up to its bounded queue; routers weigh a cold endpoint as busier. 2. A second SIGTERM killed a process that was letting its streams finish, since the handler was removed after the first. The handler now stays until the end. 3. When every candidate had turned a request away, the caller was told no-endpoint in place of the last reason and its Retry-After. The last refusal is now the answer.

Ruled out: a cut stream in the crossed-answer case; the answer was an explicit problem document, which the test's caller took for a whole answer. Its caller now calls only successful bodies whole.

--- a/experimenter/internal/caller/caller.go
+++ b/experimenter/internal/caller/caller.go
@@ -138,7 +138,7 @@
 		return fmt.Errorf("caller: body: %w", err)
 	}
 	r.Text = string(raw)
-	r.Whole = true
+	r.Whole = r.Status < http.StatusBadRequest
 	var a answerBody
 	if json.Unmarshal(raw, &a) == nil {
 		r.take(a)
--- /dev/null
+++ b/experimenter/internal/demonstrator/demonstrator_test.go
@@ -0,0 +1,25 @@
+package demonstrator
+
+import (
+	"io"
+	"os"
+	"testing"
+
+	"cardamompulley/experimenter/internal/launcher"
+)
+
+func TestDemo(t *testing.T) {
+	f, err := launcher.Launch(launcher.Spec{
+		Programs: os.Getenv("CARDAMOMPULLEY_BIN"), Engines: 3, Plains: 2, Routers: 2, Domains: 2, Logs: io.Discard,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Kill)
+	if err := NewDemonstrator(io.Discard, f).Run(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Stop(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/experimenter/internal/launcher/fleet.go
+++ b/experimenter/internal/launcher/fleet.go
@@ -45,8 +45,8 @@
 	Domains  int
 	// EngineFlags are passed to every engine stand-in.
 	EngineFlags []string
-	// Settings are added to the settings of every router and sidecar.
-	Settings map[string]any
+	// SidecarSettings are added to the settings of every sidecar.
+	SidecarSettings map[string]any
 	// Change alters the first document before it is published.
 	Change func(*model.Document)
 	Logs   io.Writer
@@ -154,7 +154,7 @@
 		"endpoint":     id,
 		"endpoint-url": "http://" + f.Endpoints[id].Address("standin"),
 		"work-listen":  work,
-	})
+	}, f.spec.SidecarSettings)
 	if err != nil {
 		return err
 	}
@@ -174,7 +174,7 @@
 
 func (f *Fleet) startRouter(n int) error {
 	name := fmt.Sprintf("router-%d", n+1)
-	path, err := f.settings(name, string(f.domain(n)), RouterToken, nil)
+	path, err := f.settings(name, string(f.domain(n)), RouterToken)
 	if err != nil {
 		return err
 	}
@@ -190,13 +190,13 @@
 	return nil
 }
 
-func (f *Fleet) settings(name, domain, token string, more map[string]any) (string, error) {
+func (f *Fleet) settings(name, domain, token string, more ...map[string]any) (string, error) {
 	platform := "http://" + f.Platform.Address("standin")
 	s := map[string]any{
 		"process": name, "domain": domain, "token": token,
 		"configuration-service": platform, "vm-list": platform,
 	}
-	for _, extra := range []map[string]any{more, f.spec.Settings} {
+	for _, extra := range more {
 		for k, v := range extra {
 			s[k] = v
 		}
@@ -352,7 +352,7 @@
 
 // AwaitReady waits until every process takes work.
 func (f *Fleet) AwaitReady() error {
-	for _, p := range f.processes() {
+	for _, p := range f.Running() {
 		if err := Await(func() bool { return isReady(p) }); err != nil {
 			return fmt.Errorf("%w: %s", ErrNotReady, p.Name)
 		}
@@ -384,7 +384,8 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func (f *Fleet) processes() []*Process {
+// Running returns every router and sidecar.
+func (f *Fleet) Running() []*Process {
 	processes := append([]*Process{}, f.Routers...)
 	for _, p := range f.Sidecars {
 		processes = append(processes, p)
@@ -396,7 +397,7 @@
 // Stop ends routers, then sidecars, then stand-ins, and returns the first unclean end.
 func (f *Fleet) Stop() error {
 	var first error
-	all := f.processes()
+	all := f.Running()
 	for _, p := range f.Endpoints {
 		all = append(all, p)
 	}
@@ -413,7 +414,7 @@
 
 // Kill ends whatever runs, at once.
 func (f *Fleet) Kill() {
-	for _, p := range f.processes() {
+	for _, p := range f.Running() {
 		p.Kill()
 	}
 	for _, p := range f.Endpoints {
@@ -447,3 +448,18 @@
 
 	return total, nil
 }
+
+// Fetch returns the text of a page.
+func Fetch(url string) (string, error) {
+	response, err := http.Get(url)
+	if err != nil {
+		return "", fmt.Errorf("launcher: %s: %w", url, err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", fmt.Errorf("launcher: %s: %w", url, err)
+	}
+
+	return string(text), nil
+}
--- a/fleet/admitter/admitter.go
+++ b/fleet/admitter/admitter.go
@@ -60,9 +60,6 @@
 		return a.refuse(model.CodeAboveBound, 0)
 	}
 	limit := a.Limiter.Limit()
-	if a.Limiter.Cold() && a.running >= limit {
-		return a.refuse(model.CodeCold, 0)
-	}
 	wait := timekeeper.Millis(0)
 	if a.running >= limit || a.queue.length > 0 {
 		wait = a.expectedWait(a.queue.ahead(item.Account, item.Priority, now), limit)
@@ -76,7 +73,7 @@
 		return Decision{Action: ActionRun}
 	}
 	if a.queue.length >= queuePerSlot*max(limit, 1) {
-		return a.refuse(model.CodeOverloaded, wait)
+		return a.refuse(a.fullCode(), wait)
 	}
 	item.queued = now
 	a.queue.push(item)
@@ -84,6 +81,14 @@
 	return Decision{Action: ActionWait}
 }
 
+func (a *Admitter) fullCode() model.Code {
+	if a.Limiter.Cold() {
+		return model.CodeCold
+	}
+
+	return model.CodeOverloaded
+}
+
 func (a *Admitter) refuse(code model.Code, wait timekeeper.Millis) Decision {
 	return Decision{Action: ActionRefuse, Code: code, RetryAfter: max(wait, minRetryAfter)}
 }
--- a/fleet/placer/placer.go
+++ b/fleet/placer/placer.go
@@ -10,6 +10,7 @@
 
 const (
 	remotePenalty = 1
+	coldPenalty   = 4
 	maxExcluded   = 8
 )
 
@@ -143,6 +144,9 @@
 	if g.Members[member].Domain != p.domain {
 		cost += remotePenalty
 	}
+	if p.table.At(g.Members[member].Index).State == exchanger.StateCold {
+		cost += coldPenalty
+	}
 
 	return cost
 }
--- a/router/internal/cli/cli.go
+++ b/router/internal/cli/cli.go
@@ -58,8 +58,8 @@
 	}
 	g.Go(func() { f.Run(background) })
 
+	// A second signal must not cut what still runs, so the handler stays until the end.
 	<-ctx.Done()
-	stop()
 	log.Write(logger.EventShutdownStarted)
 	grace, cancel := context.WithTimeout(context.Background(), s.ShutdownGrace.Duration())
 	defer cancel()
--- a/router/internal/dispatcher/dispatcher.go
+++ b/router/internal/dispatcher/dispatcher.go
@@ -86,6 +86,7 @@
 	excluded   map[model.EndpointID]bool
 	forced     model.EndpointID
 	mayHaveRun bool
+	last       *model.Refusal
 }
 
 // target is where an attempt goes.
@@ -114,6 +115,9 @@
 	d.mu.Unlock()
 	for {
 		t, refusal := d.choose(a)
+		if refusal != nil && refusal.Code == model.CodeNoEndpoint && a.last != nil {
+			refusal = a.last
+		}
 		if refusal != nil {
 			return nil, a.finish(refusal)
 		}
@@ -346,6 +350,7 @@
 
 // goOn decides whether another attempt follows and prepares it.
 func (d *Dispatcher) goOn(ctx context.Context, a *attempt, t target, refusal *model.Refusal) bool {
+	a.last = refusal
 	if refusal.Outcome != model.OutcomeNotRun {
 		a.mayHaveRun = true
 	}
--- a/sidecar/internal/cli/cli.go
+++ b/sidecar/internal/cli/cli.go
@@ -60,8 +60,8 @@
 	g.Go(func() { f.Run(background) })
 	g.Go(func() { w.Control(background) })
 
+	// A second signal must not cut what still runs, so the handler stays until the end.
 	<-ctx.Done()
-	stop()
 	log.Write(logger.EventShutdownStarted)
 	err = p.shutdown(s.ShutdownGrace)
 	endBackground()
