The leaving-endpoint test waits for the endpoint's state and not for the VM's

Ruled out: work sent to the endpoint after its sidecar knew. Change: the test reads the endpoint's state from the page; its check (no chat to the leaving endpoint) is unchanged. Conclusion: the promise counts from the sidecar's reading, at most one poll of three seconds after the platform's listing.

--- a/experimenter/internal/launcher/fault_test.go
+++ b/experimenter/internal/launcher/fault_test.go
@@ -1,10 +1,12 @@
 package launcher_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -16,6 +18,8 @@
 
 	"cardamompulley/experimenter/internal/caller"
 	"cardamompulley/experimenter/internal/launcher"
+	"cardamompulley/fleet/exchanger"
+	"cardamompulley/fleet/exposer"
 	"cardamompulley/fleet/follower"
 	"cardamompulley/fleet/messenger"
 	"cardamompulley/fleet/messenger/messengerconnect"
@@ -389,7 +393,14 @@
 	err := launcher.Await(func() bool {
 		text, err := launcher.Fetch("http://" + f.Routers[0].Address("operator") + "/fleet")
 
-		return err == nil && strings.Contains(text, `"leaving"`) && strings.Contains(text, `"state":"leaving"`)
+		var view exposer.FleetView
+		if err != nil || json.Unmarshal([]byte(text), &view) != nil {
+			return false
+		}
+
+		return slices.ContainsFunc(view.Endpoints, func(e exposer.EndpointView) bool {
+			return e.ID == "engine-1" && e.State == exchanger.StateLeaving.String()
+		})
 	})
 	if err != nil {
 		t.Fatal(err)
