--- a/fleet/admitter/limiter.go
+++ b/fleet/admitter/limiter.go
@@ -1,6 +1,9 @@
 package admitter
 
-import "cardamompulley/fleet/timekeeper"
+import (
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+)
 
 const (
 	coldStart        = 1.0
@@ -12,10 +15,14 @@
 	baselineShare    = 0.1
 	defaultMax       = 64
 	minBaselineFirst = 20 * timekeeper.Millis(1)
+	minBaselineGap   = 5 * timekeeper.Millis(1)
+	shortPrefill     = 256
 )
 
 // Sample is what one finished request tells of its endpoint.
 type Sample struct {
+	// Uncached is how many prompt tokens were not in the cache; long prefills say nothing of a cold start.
+	Uncached   model.Tokens
 	FirstToken timekeeper.Millis
 	TokenGap   timekeeper.Millis
 	Service    timekeeper.Millis
@@ -35,7 +42,8 @@
 	learnt    float64
 	allowed   float64
 	cold      bool
-	baseline  float64
+	first     baseline
+	gap       baseline
 	slow      int
 	sinceDrop int
 }
@@ -144,20 +152,18 @@
 
 // detectCold compares with the endpoint's own history, so it also sees a cold start that nobody announced.
 func (l *Limiter) detectCold(s Sample) bool {
-	seen := float64(max(s.FirstToken, minBaselineFirst))
-	if l.baseline == 0 {
-		l.baseline = seen
-
-		return false
+	slow := false
+	if s.Uncached <= shortPrefill {
+		slow = l.first.judge(s.FirstToken, minBaselineFirst, l.cold)
+	}
+	if s.TokenGap > 0 {
+		slow = l.gap.judge(s.TokenGap, minBaselineGap, l.cold) || slow
 	}
 	if l.cold {
-		l.baseline += baselineShare * (seen - l.baseline)
-
 		return false
 	}
-	if seen < recoldFactor*l.baseline {
+	if !slow {
 		l.slow = 0
-		l.baseline += baselineShare * (seen - l.baseline)
 
 		return false
 	}
@@ -165,3 +171,22 @@
 
 	return l.slow >= recoldSamples
 }
+
+// baseline is what a latency usually is.
+type baseline struct {
+	usual float64
+}
+
+// judge tells whether a latency is far over the usual one; only latencies that are not move the baseline.
+func (b *baseline) judge(seen, least timekeeper.Millis, cold bool) bool {
+	latency := float64(max(seen, least))
+	if b.usual == 0 {
+		b.usual = latency
+	}
+	if !cold && latency >= recoldFactor*b.usual {
+		return true
+	}
+	b.usual += baselineShare * (latency - b.usual)
+
+	return false
+}
--- /dev/null
+++ b/fleet/admitter/limiter_test.go
@@ -0,0 +1,56 @@
+package admitter
+
+import (
+	"testing"
+
+	"cardamompulley/fleet/timekeeper"
+)
+
+func warmLimiter() *Limiter {
+	l := NewLimiter(8, Targets{FirstToken: 610, TokenGap: 57})
+	for l.Cold() {
+		l.Observe(Sample{FirstToken: 40, TokenGap: 20})
+	}
+
+	return l
+}
+
+func TestLimiterSeesAColdStartThatNobodyAnnounced(t *testing.T) {
+	cases := []struct {
+		name    string
+		samples []Sample
+		cold    bool
+	}{
+		{"as usual", []Sample{{FirstToken: 50, TokenGap: 25}, {FirstToken: 60, TokenGap: 22}}, false},
+		{"one slow answer", []Sample{{FirstToken: 500, TokenGap: 20}}, false},
+		{"slow first tokens", []Sample{{FirstToken: 500, TokenGap: 20}, {FirstToken: 500, TokenGap: 20}}, true},
+		{"slow tokens", []Sample{{FirstToken: 40, TokenGap: 100}, {FirstToken: 40, TokenGap: 100}}, true},
+		{"long prompts that missed the cache", []Sample{
+			{FirstToken: 500, TokenGap: 20, Uncached: 2000}, {FirstToken: 500, TokenGap: 20, Uncached: 2000},
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := warmLimiter()
+			for _, s := range c.samples {
+				l.Observe(s)
+			}
+			if l.Cold() != c.cold {
+				t.Fatalf("cold = %t, want %t", l.Cold(), c.cold)
+			}
+		})
+	}
+}
+
+func TestColdLimitGrowsByWorkAndNotByTime(t *testing.T) {
+	a := NewAdmitter(NewLimiter(32, Targets{}))
+	started := 0
+	for now := timekeeper.Millis(0); now < timekeeper.Hour; now += timekeeper.Minute {
+		if a.Offer(Item{Ticket: Ticket(now + 1)}, 100, now).Action == ActionRun {
+			started++
+		}
+	}
+	if started != 1 {
+		t.Fatalf("%d requests run on a cold endpoint that has finished none", started)
+	}
+}
--- a/fleet/placer/placer.go
+++ b/fleet/placer/placer.go
@@ -168,9 +168,9 @@
 	return float64(total) / float64(usable)
 }
 
-// Limit returns the busy count that the admission bound allows at a mean.
+// Limit returns the busy count up to which a member is given work at a mean; equal members can always take one more.
 func (g *Group) Limit(mean float64) int {
-	return max(g.Floor, int(g.Bound*mean))
+	return max(g.Floor, int(g.Bound*mean)+1)
 }
 
 // Choose is the router's choice: the hint, the least loaded head for a first turn, else the home.
@@ -259,3 +259,10 @@
 
 	return best
 }
+
+// HomeOrder returns the usable heads of a chat's home order, best first.
+func (p *Placer) HomeOrder(g *Group, chat model.ChatKey, excluded *Exclusions) []int {
+	s := p.survey(g, chat, excluded)
+
+	return append([]int(nil), s.ranked[:s.count]...)
+}
--- a/sidecar/internal/worker/execute.go
+++ b/sidecar/internal/worker/execute.go
@@ -25,7 +25,7 @@
 	o := &output{worker: w, job: j, digest: xxhash.New()}
 	j.touched = true
 	summary, err := w.relayer.Relay(ctx, w.toEndpoint(ctx, j), relayer.Sink{Head: o.head, Piece: o.piece})
-	j.sample = sampleOf(summary)
+	j.sample = sampleOf(j.request, summary)
 	if err != nil {
 		return w.explain(ctx, j, err)
 	}
@@ -63,8 +63,11 @@
 	}
 }
 
-func sampleOf(s relayer.Summary) admitter.Sample {
-	sample := admitter.Sample{FirstToken: s.FirstPiece}
+func sampleOf(r *messenger.RunRequest, s relayer.Summary) admitter.Sample {
+	sample := admitter.Sample{
+		Uncached:   max(0, model.Tokens(r.PromptTokens)-s.CachedTokens),
+		FirstToken: s.FirstPiece,
+	}
 	if s.Pieces > 1 {
 		sample.TokenGap = (s.LastPiece - s.FirstPiece) / timekeeper.Millis(s.Pieces-1)
 	}
