Load vectors of two bytes an endpoint, sent on every exchange; the default admission bound is 1.5

Ruled out: sending the old vectors on every exchange, which comes to 10.9 KB a second. Change: state and age share one byte, the age in thirty steps that each grow by a quarter and always round up, so news never grows younger; vectors go with every exchange.

--- a/fleet/exchanger/table.go
+++ b/fleet/exchanger/table.go
@@ -42,12 +42,38 @@
 }
 
 const (
-	bytesPerEndpoint = 3
+	bytesPerEndpoint = 2
 	maxBusy          = 255
-	ageUnit          = 100 * timekeeper.Millis(1)
-	maxAge           = 255
+	stateShift       = 5
+	ageMask          = 1<<stateShift - 1
+	unknownAge       = ageMask
+	firstAge         = 200 * timekeeper.Millis(1)
+	ageGrowth        = 1.25
 )
 
+// ages are the spans that an age code stands for, each a quarter longer than the one before.
+var ages = func() [unknownAge]timekeeper.Millis {
+	var spans [unknownAge]timekeeper.Millis
+	span := float64(firstAge)
+	for code := 1; code < unknownAge; code++ {
+		spans[code] = timekeeper.Millis(span)
+		span *= ageGrowth
+	}
+
+	return spans
+}()
+
+// ageCode returns the code of the shortest span that is no shorter than an age.
+func ageCode(age timekeeper.Millis) byte {
+	for code, span := range ages {
+		if age <= span {
+			return byte(code)
+		}
+	}
+
+	return unknownAge
+}
+
 // ErrVectorSize is returned for a vector of another configuration.
 var ErrVectorSize = errors.New("exchanger: vector has the wrong size")
 
@@ -103,14 +129,14 @@
 	return len(t.loads)
 }
 
-// Encode appends the dense vector: busy, state, age in tenths of a second.
+// Encode appends the dense vector: a byte for busy, three bits for the state and five for the age.
 func (t *Table) Encode(now timekeeper.Millis, buffer []byte) []byte {
 	for _, l := range t.loads {
-		age := min((now-l.At)/ageUnit, maxAge)
-		if l.State == StateUnknown {
-			age = maxAge
+		code := byte(unknownAge)
+		if l.State != StateUnknown {
+			code = ageCode(now - l.At)
 		}
-		buffer = append(buffer, byte(min(l.Busy, maxBusy)), byte(l.State), byte(age))
+		buffer = append(buffer, byte(min(l.Busy, maxBusy)), byte(l.State)<<stateShift|code)
 	}
 
 	return buffer
@@ -123,12 +149,12 @@
 	}
 	for i := range t.loads {
 		entry := vector[i*bytesPerEndpoint:]
-		if State(entry[1]) == StateUnknown || entry[2] == maxAge || State(entry[1]) > StateDown {
+		state, code := State(entry[1]>>stateShift), entry[1]&ageMask
+		if state == StateUnknown || state > StateDown || code == unknownAge {
 			continue
 		}
-		at := now - ageUnit*timekeeper.Millis(entry[2])
-		if at > t.loads[i].At+ageUnit {
-			t.loads[i] = Load{Busy: int(entry[0]), State: State(entry[1]), At: at}
+		if at := now - ages[code]; at > t.loads[i].At {
+			t.loads[i] = Load{Busy: int(entry[0]), State: state, At: at}
 		}
 	}
 
--- a/fleet/follower/follower.go
+++ b/fleet/follower/follower.go
@@ -21,7 +21,6 @@
 
 const (
 	exchangeInterval = timekeeper.Second
-	vectorEvery      = 2
 	pollInterval     = 30 * timekeeper.Second
 	firstPolls       = 500 * timekeeper.Millis(1)
 	vmInterval       = 3 * timekeeper.Second
@@ -55,7 +54,6 @@
 	groups   *placer.Groups
 	budget   *exchanger.Budget
 	vms      []model.VM
-	round    int
 	spent    int64
 }
 
--- a/fleet/follower/peer.go
+++ b/fleet/follower/peer.go
@@ -81,8 +81,7 @@
 	client := messengerconnect.NewPeerClient(f.peers, "http://"+vm.Address,
 		WithToken(f.settings.Token), connect.WithSendGzip(), connect.WithCompressMinBytes(compressMinBytes))
 	f.mu.Lock()
-	f.round++
-	request := f.news(f.round%vectorEvery == 0)
+	request := f.news()
 	f.mu.Unlock()
 	response, err := client.Exchange(ctx, request)
 	if err != nil {
@@ -101,16 +100,14 @@
 }
 
 // news describes this process's view; the caller holds the lock.
-func (f *Follower) news(withVector bool) *messenger.ExchangeRequest {
+func (f *Follower) news() *messenger.ExchangeRequest {
 	now := f.Clock.Now()
 	request := &messenger.ExchangeRequest{Process: f.self.ID, Condemned: Marks(f.register.Share(now))}
 	if current := f.acceptor.Current(); current != nil {
 		request.ConfigurationVersion = uint64(current.Version)
 		request.ConfigurationHash = current.Hash
 	}
-	if withVector {
-		request.Vector = f.table.Encode(now, nil)
-	}
+	request.Vector = f.table.Encode(now, nil)
 
 	return request
 }
@@ -211,7 +208,7 @@
 	}
 	h.f.mu.Lock()
 	defer h.f.mu.Unlock()
-	n := h.f.news(len(r.Vector) > 0)
+	n := h.f.news()
 
 	return &messenger.ExchangeResponse{
 		Process:              n.Process,
--- a/fleet/placer/group.go
+++ b/fleet/placer/group.go
@@ -16,7 +16,7 @@
 // Default bounds of a service that declares none.
 const (
 	DefaultLoadBound      = 2.0
-	DefaultAdmissionBound = 1.25
+	DefaultAdmissionBound = 1.5
 	DefaultLoadFloor      = 4
 )
 
