--- a/cardamompulley/internal/cli/cli.go
+++ b/cardamompulley/internal/cli/cli.go
@@ -2,10 +2,28 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"flag"
+	"fmt"
 	"io"
 
 	"github.com/google/subcommands"
+
+	"cardamompulley/fleet/configurator"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK         = subcommands.ExitSuccess
+	ExitFailed     = subcommands.ExitFailure
+	ExitUsage      = subcommands.ExitUsageError
+	ExitInvalid    = subcommands.ExitStatus(3)
+	ExitStaleBase  = subcommands.ExitStatus(4)
+	ExitNotInForce = subcommands.ExitStatus(5)
+	ExitRefused    = subcommands.ExitStatus(6)
+	outputText     = "text"
+	outputJSON     = "json"
 )
 
 // Run runs one command and returns its exit code.
@@ -14,10 +32,68 @@
 	flags.SetOutput(errs)
 	commander := subcommands.NewCommander(flags, "cardamompulley")
 	commander.Output, commander.Error = out, errs
-	commander.Register(commander.HelpCommand(), "")
+	c := console{out: out, errs: errs}
+	for _, command := range []subcommands.Command{
+		commander.HelpCommand(),
+		&patchCommand{console: c},
+		&configCommand{console: c},
+		&explainCommand{console: c},
+		&fleetCommand{console: c},
+		&rolloutCommand{console: c},
+		&callCommand{console: c},
+	} {
+		commander.Register(command, "")
+	}
 	if err := flags.Parse(arguments); err != nil {
-		return int(subcommands.ExitUsageError)
+		return int(ExitUsage)
 	}
 
 	return int(commander.Execute(context.Background()))
 }
+
+// console is where a command writes, as text for people or JSON for programs.
+type console struct {
+	out, errs io.Writer
+	output    string
+}
+
+func (c *console) setOutput(f *flag.FlagSet) {
+	f.StringVar(&c.output, "output", outputText, "text or json")
+}
+
+// show writes a result as JSON, or by the given function as text.
+func (c *console) show(result any, text func()) subcommands.ExitStatus {
+	if c.output != outputJSON {
+		text()
+
+		return ExitOK
+	}
+	if err := json.NewEncoder(c.out).Encode(result); err != nil {
+		return c.fail(err)
+	}
+
+	return ExitOK
+}
+
+// fail reports an error and returns the exit code that belongs to it.
+func (c *console) fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(c.errs, err)
+	switch {
+	case errors.Is(err, configurator.ErrStaleBase):
+		return ExitStaleBase
+	case errors.Is(err, configurator.ErrInvalid), errors.Is(err, configurator.ErrValueTooLarge):
+		return ExitInvalid
+	case errors.Is(err, errNotInForce):
+		return ExitNotInForce
+	case errors.Is(err, errUsage):
+		return ExitUsage
+	default:
+		return ExitFailed
+	}
+}
+
+var (
+	errUsage      = errors.New("cardamompulley: wrong arguments")
+	errNotInForce = errors.New("cardamompulley: version not in force everywhere")
+	errAnswer     = errors.New("cardamompulley: unexpected answer")
+)
--- /dev/null
+++ b/cardamompulley/internal/cli/config.go
@@ -0,0 +1,64 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"cardamompulley/fleet/configurator"
+	"cardamompulley/fleet/model"
+)
+
+// configCommand checks a whole configuration document without a platform.
+type configCommand struct {
+	console
+}
+
+func (*configCommand) Name() string     { return "config" }
+func (*configCommand) Synopsis() string { return "check a configuration document" }
+func (*configCommand) Usage() string    { return "config [--output text|json] lint FILE\n" }
+
+// SetFlags declares the flags.
+func (c *configCommand) SetFlags(f *flag.FlagSet) {
+	c.setOutput(f)
+}
+
+type lintResult struct {
+	File      string `json:"file"`
+	Services  int    `json:"services"`
+	Endpoints int    `json:"endpoints"`
+	Accounts  int    `json:"accounts"`
+}
+
+// Execute checks one file.
+func (c *configCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 2 || f.Arg(0) != "lint" {
+		return c.fail(fmt.Errorf("%w: %s", errUsage, c.Usage()))
+	}
+	raw, err := os.ReadFile(f.Arg(1))
+	if err != nil {
+		return c.fail(fmt.Errorf("cardamompulley: %w", err))
+	}
+	var document model.Document
+	if err := configurator.DecodeStrict(raw, &document); err != nil {
+		return c.fail(fmt.Errorf("%s: %w", f.Arg(1), err))
+	}
+	if err := configurator.Check(document); err != nil {
+		return c.fail(err)
+	}
+	if _, err := configurator.Publish(1, document); err != nil {
+		return c.fail(err)
+	}
+	result := lintResult{
+		File: f.Arg(1), Services: len(document.Fleet.Services),
+		Endpoints: len(document.Fleet.Endpoints), Accounts: len(document.Accounts),
+	}
+
+	return c.show(result, func() {
+		fmt.Fprintf(c.out, "%s: good: %d services, %d endpoints, %d accounts\n",
+			result.File, result.Services, result.Endpoints, result.Accounts)
+	})
+}
--- a/experimenter/internal/measurer/policy.go
+++ b/experimenter/internal/measurer/policy.go
@@ -110,7 +110,6 @@
 		}
 		r.table.Add(member, 1)
 		w.tally.hops += count(w.warm())
-		forced = placer.NoMember
 		if !placed {
 			if elsewhere := w.atHome(member, q.chat); elsewhere != member {
 				w.learn(member, q.router)
--- a/experimenter/internal/measurer/tally.go
+++ b/experimenter/internal/measurer/tally.go
@@ -7,14 +7,14 @@
 
 // tally is what one run counted after its warm-up.
 type tally struct {
-	requests, givenUp            int
-	returning, hits              int
-	held, heldHits               int
-	proposals, refused, hops     int
-	controlBytes                 int
-	skews                        []float64
-	boundSeconds, boundBroken    int
-	coldOver, servedOut, workOut int
+	requests, givenUp         int
+	returning, hits           int
+	held, heldHits            int
+	proposals, refused, hops  int
+	controlBytes              int
+	skews                     []float64
+	boundSeconds, boundBroken int
+	coldOver, workOut         int
 }
 
 // noteTurn notes whether a returning turn found its prefix.
--- a/experimenter/internal/prover/fleetworld.go
+++ b/experimenter/internal/prover/fleetworld.go
@@ -75,7 +75,6 @@
 	outages   map[model.DomainID]outage
 	leftSince map[int]timekeeper.Millis
 	service   int
-	quiet     timekeeper.Millis
 	history   []string
 	failed    *Violation
 }
--- a/fleet/loader/loader.go
+++ b/fleet/loader/loader.go
@@ -87,12 +87,7 @@
 
 func (p *pass) read(m *hujson.ObjectMember) {
 	line := 1 + strings.Count(string(p.raw[:m.Name.StartOffset]), "\n")
-	name, err := stringOf(m.Name)
-	if err != nil {
-		p.fault(line, "a name cannot be read: %v", err)
-
-		return
-	}
+	name := nameOf(m)
 	option := p.find(name)
 	if option == nil {
 		p.fault(line, "%q is not a known setting", name)
@@ -142,13 +137,12 @@
 	}
 }
 
-func stringOf(v hujson.Value) (string, error) {
-	var s string
-	if err := json.Unmarshal(v.Pack(), &s); err != nil {
-		return "", fmt.Errorf("loader: name: %w", err)
+func nameOf(m *hujson.ObjectMember) string {
+	if literal, ok := m.Name.Value.(hujson.Literal); ok {
+		return literal.String()
 	}
 
-	return s, nil
+	return ""
 }
 
 func kindOf(target any) string {
--- a/router/internal/cli/cli.go
+++ b/router/internal/cli/cli.go
@@ -88,6 +88,7 @@
 	peerMux.Handle(f.PeerHandler())
 	p := &process{peer: runner.NewServer(peerMux), exposer: exposer.NewExposer(s.Process, f)}
 	p.exposer.Ready = v.Ready
+	p.exposer.Handle("/explain", v.HandleExplain)
 
 	callers, err := runner.Listen("callers", s.Listen, out, log)
 	if err != nil {
--- a/router/internal/parser/chat.go
+++ b/router/internal/parser/chat.go
@@ -71,6 +71,11 @@
 	}, nil
 }
 
+// ChatKeyOf returns the key of a chat that its caller names by prompt_cache_key.
+func ChatKeyOf(account model.AccountID, name, cacheKey string) model.ChatKey {
+	return chatKey(account, &chatBody{Model: name, PromptCacheKey: cacheKey}, nil)
+}
+
 func hasAnswer(messages []message) bool {
 	for i := range messages {
 		if messages[i].Role == "assistant" {
--- /dev/null
+++ b/router/internal/server/explain.go
@@ -0,0 +1,51 @@
+package server
+
+import (
+	"strings"
+
+	"github.com/gofiber/fiber/v3"
+
+	"cardamompulley/fleet/exposer"
+	"cardamompulley/fleet/follower"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/placer"
+	"cardamompulley/router/internal/parser"
+)
+
+// HandleExplain tells operators where a chat would go.
+func (v *Server) HandleExplain(c fiber.Ctx) error {
+	name, adapter, _ := strings.Cut(c.Query("model"), ":")
+	id := model.ModelID(strings.Clone(name))
+	service, ok := v.serviceOfModel(id)
+	if !ok {
+		return c.Status(fiber.StatusNotFound).SendString("no service declares the model\n")
+	}
+	chat := parser.ChatKeyOf(model.AccountID(c.Query("account")), c.Query("model"), c.Query("cache-key"))
+	e := exposer.Explanation{Service: service}
+	v.follower.View(func(w follower.View) {
+		key := placer.GroupKey{Service: service, Model: id, Adapter: model.AdapterID(strings.Clone(adapter))}
+		explain(&e, w, w.Groups.Get(key), placer.NewPlacer(model.DomainID(v.settings.Domain), w.Table), chat)
+	})
+
+	return c.JSON(e)
+}
+
+func explain(e *exposer.Explanation, w follower.View, g *placer.Group, p *placer.Placer, chat model.ChatKey) {
+	e.Members = len(g.Members)
+	e.MeanLoad = p.Mean(g)
+	e.Limit = g.Limit(e.MeanLoad)
+	head, count := p.Head(g, chat)
+	for _, m := range head[:count] {
+		l := w.Table.At(g.Members[m].Index)
+		e.HomeOrder = append(e.HomeOrder, exposer.Candidate{
+			ID: g.Members[m].ID, Domain: g.Members[m].Domain, Busy: l.Busy, State: l.State.String(),
+		})
+	}
+	if count == 0 {
+		return
+	}
+	e.Home = g.Members[head[0]].ID
+	choice := p.Choose(g, &placer.Request{Chat: chat, FirstTurn: true, Hint: placer.NoMember})
+	e.FirstTurn = g.Members[choice.Member].ID
+	e.FirstTurnReason = string(choice.Reason)
+}
