--- /dev/null
+++ b/experimenter/internal/cli/bench.go
@@ -0,0 +1,54 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/google/subcommands"
+
+	"cardamompulley/experimenter/internal/bencher"
+	"cardamompulley/experimenter/internal/launcher"
+	"cardamompulley/fleet/model"
+)
+
+type benchCommand struct {
+	out, errs io.Writer
+}
+
+func (*benchCommand) Name() string             { return "bench" }
+func (*benchCommand) Synopsis() string         { return "load an engine directly and through the fleet" }
+func (*benchCommand) Usage() string            { return "bench\n" }
+func (*benchCommand) SetFlags(_ *flag.FlagSet) {}
+
+// Execute launches one router and one engine, and loads both ways.
+func (b *benchCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	fleet, err := launcher.Launch(launcher.Spec{
+		Programs: programs(), Engines: 1, Plains: 1, Routers: 1, Domains: 1, Logs: io.Discard,
+		EngineFlags: []string{"--token-gap-ms", "0", "--prefill-ms", "0"},
+		Change: func(d *model.Document) {
+			for id, e := range d.Fleet.Endpoints {
+				e.MaxRunning = 256
+				d.Fleet.Endpoints[id] = e
+			}
+			for id, s := range d.Fleet.Services {
+				s.LoadFloor = 256
+				d.Fleet.Services[id] = s
+			}
+		},
+	})
+	if err != nil {
+		fmt.Fprintln(b.errs, err)
+
+		return subcommands.ExitFailure
+	}
+	defer fleet.Kill()
+	if err := bencher.Run(b.out, fleet); err != nil {
+		fmt.Fprintln(b.errs, err)
+
+		return subcommands.ExitFailure
+	}
+
+	return subcommands.ExitSuccess
+}
--- a/experimenter/internal/cli/cli.go
+++ b/experimenter/internal/cli/cli.go
@@ -18,6 +18,8 @@
 	commander.Register(&demoCommand{out: out, errs: errs}, "")
 	commander.Register(&proveCommand{out: out, errs: errs}, "")
 	commander.Register(&measureCommand{out: out, errs: errs}, "")
+	commander.Register(&slopesCommand{out: out, errs: errs}, "")
+	commander.Register(&benchCommand{out: out, errs: errs}, "")
 	if err := flags.Parse(arguments); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
--- /dev/null
+++ b/experimenter/internal/cli/slopes.go
@@ -0,0 +1,34 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/google/subcommands"
+
+	"cardamompulley/experimenter/internal/sloper"
+)
+
+type slopesCommand struct {
+	out, errs io.Writer
+}
+
+func (*slopesCommand) Name() string             { return "slopes" }
+func (*slopesCommand) Synopsis() string         { return "measure slopes and carry them to the target size" }
+func (*slopesCommand) Usage() string            { return "slopes\n" }
+func (*slopesCommand) SetFlags(_ *flag.FlagSet) {}
+
+// Execute prints the table of docs/CAPACITY.md.
+func (s *slopesCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	results, err := sloper.Measure()
+	if err != nil {
+		fmt.Fprintln(s.errs, err)
+
+		return subcommands.ExitFailure
+	}
+	sloper.Print(s.out, results)
+
+	return subcommands.ExitSuccess
+}
--- a/fleet/follower/follower.go
+++ b/fleet/follower/follower.go
@@ -29,6 +29,12 @@
 	maxIdlePeers     = 16
 )
 
+// How often a process reads the platform's services, for working out their load.
+const (
+	PollSeconds   = float64(pollInterval) / float64(timekeeper.Second)
+	VMListSeconds = float64(vmInterval) / float64(timekeeper.Second)
+)
+
 // Follower holds a process's view of the fleet.
 type Follower struct {
 	Clock   timekeeper.Clock
--- a/fleet/follower/peer.go
+++ b/fleet/follower/peer.go
@@ -78,8 +78,7 @@
 func (f *Follower) exchangeWith(ctx context.Context, vm model.VM) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout.Duration())
 	defer cancel()
-	client := messengerconnect.NewPeerClient(f.peers, "http://"+vm.Address,
-		WithToken(f.settings.Token), connect.WithSendGzip(), connect.WithCompressMinBytes(compressMinBytes))
+	client := messengerconnect.NewPeerClient(f.peers, "http://"+vm.Address, PeerClientOptions(f.settings.Token)...)
 	f.mu.Lock()
 	request := f.news()
 	f.mu.Unlock()
@@ -193,10 +192,23 @@
 
 // PeerHandler returns the path and handler of the Peer service.
 func (f *Follower) PeerHandler() (string, http.Handler) {
-	return messengerconnect.NewPeerHandler(peerHandler{f: f},
-		connect.WithInterceptors(f.Admission(model.RoleRouter, model.RoleSidecar, model.RoleOperator)),
-		connect.WithCompressMinBytes(compressMinBytes),
-		connect.WithReadMaxBytes(maxPeerMessageBytes))
+	admission := connect.WithInterceptors(f.Admission(model.RoleRouter, model.RoleSidecar, model.RoleOperator))
+
+	return messengerconnect.NewPeerHandler(peerHandler{f: f}, append(CompressionOptions(), admission)...)
+}
+
+// PeerClientOptions are the options of every client of the Peer service.
+func PeerClientOptions(token string) []connect.ClientOption {
+	return []connect.ClientOption{
+		WithToken(token), connect.WithSendGzip(), connect.WithCompressMinBytes(compressMinBytes),
+	}
+}
+
+// CompressionOptions are the options of every handler of the Peer service.
+func CompressionOptions() []connect.HandlerOption {
+	return []connect.HandlerOption{
+		connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(maxPeerMessageBytes),
+	}
 }
 
 const maxPeerMessageBytes = 16 << 20
