Admission proved by random schedules; a cold start inside a cold start is seen

It is now always on, and slow answers move the baseline only a little. 2. During a cold start two answers in a row over the latency targets now start it again.

A silent cold start is seen after two slow answers, not before; docs/PROOFS.md will say so.

--- a/experimenter/internal/cli/prove.go
+++ b/experimenter/internal/cli/prove.go
@@ -16,6 +16,7 @@
 const (
 	seedsVariable = "PROVE_SEEDS"
 	defaultSeeds  = 10_000
+	shownSeeds    = 10
 )
 
 type proveCommand struct {
@@ -47,7 +48,7 @@
 		fmt.Fprintf(p.out, "    faults: %s\n", promise.Faults)
 		if r.First != nil {
 			status = subcommands.ExitFailure
-			fmt.Fprintf(p.errs, "    seeds %v: %v\n", r.Violations, r.First)
+			fmt.Fprintf(p.errs, "    seeds %v: %v\n", r.Violations[:min(len(r.Violations), shownSeeds)], r.First)
 		}
 	}
 
--- a/experimenter/internal/prover/prover.go
+++ b/experimenter/internal/prover/prover.go
@@ -70,6 +70,11 @@
 			Faults:   "crossed, late, repeated and lost pieces, cut",
 			Schedule: func(c Chooser) *Violation { return RunAnswerSchedule(c, AnswerVariant{}) },
 		},
+		{
+			Name:     "cold start, load bound and deadline",
+			Faults:   "restart, cold without notice, moving mean, bursts of several routers",
+			Schedule: func(c Chooser) *Violation { return RunAdmitSchedule(c, AdmitVariant{}) },
+		},
 	}
 }
 
--- a/fleet/admitter/admitter.go
+++ b/fleet/admitter/admitter.go
@@ -121,7 +121,7 @@
 	a.running = max(0, a.running-1)
 }
 
-// Next returns a waiting request to start now, if there is room under the limit and the bound.
+// Next returns a waiting request to start now, if there is room under the limit and the bound; Expire comes first.
 func (a *Admitter) Next(bound int, now timekeeper.Millis) (Item, bool) {
 	if a.running >= a.Limiter.Limit() || a.running >= bound {
 		return Item{}, false
--- a/fleet/admitter/limiter.go
+++ b/fleet/admitter/limiter.go
@@ -13,6 +13,7 @@
 	recoldFactor     = 4
 	recoldSamples    = 2
 	baselineShare    = 0.1
+	slowShare        = 0.02
 	defaultMax       = 64
 	minBaselineFirst = 20 * timekeeper.Millis(1)
 	minBaselineGap   = 5 * timekeeper.Millis(1)
@@ -154,13 +155,14 @@
 func (l *Limiter) detectCold(s Sample) bool {
 	slow := false
 	if s.Uncached <= shortPrefill {
-		slow = l.first.judge(s.FirstToken, minBaselineFirst, l.cold)
+		slow = l.first.judge(s.FirstToken, minBaselineFirst)
 	}
 	if s.TokenGap > 0 {
-		slow = l.gap.judge(s.TokenGap, minBaselineGap, l.cold) || slow
+		slow = l.gap.judge(s.TokenGap, minBaselineGap) || slow
 	}
-	if l.cold {
-		return false
+	if l.cold && s.Uncached <= shortPrefill && l.over(s) {
+		// During a cold start there is little history to compare with, so the targets decide as well.
+		slow = true
 	}
 	if !slow {
 		l.slow = 0
@@ -177,13 +179,15 @@
 	usual float64
 }
 
-// judge tells whether a latency is far over the usual one; only latencies that are not move the baseline.
-func (b *baseline) judge(seen, least timekeeper.Millis, cold bool) bool {
+// judge tells whether a latency is far over the usual one; such a latency moves the baseline only a little.
+func (b *baseline) judge(seen, least timekeeper.Millis) bool {
 	latency := float64(max(seen, least))
 	if b.usual == 0 {
 		b.usual = latency
 	}
-	if !cold && latency >= recoldFactor*b.usual {
+	if latency >= recoldFactor*b.usual {
+		b.usual += slowShare * (latency - b.usual)
+
 		return true
 	}
 	b.usual += baselineShare * (latency - b.usual)
