The load bound holds through a domain's return: what is away counts as empty, what waits counts as waiting

Members that are away now count as empty in the bound, down to 1.1 times the mean of the others, so that capacity still serves. 2. Load vectors now carry what runs; a queue is a state of its own (full), which placement avoids.

Ruled out: stale views of the returned members; all sidecars agreed within two of the bound in the seconds in question.

--- a/experimenter/internal/measurer/measurer.go
+++ b/experimenter/internal/measurer/measurer.go
@@ -6,6 +6,8 @@
 	"runtime"
 
 	"github.com/sourcegraph/conc/pool"
+
+	"cardamompulley/fleet/placer"
 )
 
 // Row is the result of one policy on one deployment under one scenario.
@@ -52,8 +54,10 @@
 				tasks = append(tasks, task{d, Steady(), p})
 			}
 		}
-		fleet := Bounded(placerBound)[1]
-		tasks = append(tasks, task{d, Churn(), fleet}, task{d, DomainOutAndBack(), fleet})
+		fleet := Bounded(placer.DefaultAdmissionBound)[1]
+		for _, s := range []Scenario{Churn(), DomainOutAndBack(), Surge()} {
+			tasks = append(tasks, task{d, s, fleet})
+		}
 	}
 	rows := make([]Row, len(tasks))
 	workers := pool.New().WithErrors().WithMaxGoroutines(runtime.GOMAXPROCS(0))
@@ -72,13 +76,14 @@
 	return rows, nil
 }
 
-const (
-	maxOracleRunners = 100
-	placerBound      = 1.25
-)
+const maxOracleRunners = 100
 
 func measureOne(t task) (Row, error) {
-	w, err := newWorld(t.deployment, t.policy, measureSeed)
+	return measureSeeded(t, measureSeed)
+}
+
+func measureSeeded(t task, seed uint64) (Row, error) {
+	w, err := newWorld(t.deployment, t.policy, seed)
 	if err != nil {
 		return Row{}, err
 	}
--- a/experimenter/internal/measurer/scenario.go
+++ b/experimenter/internal/measurer/scenario.go
@@ -65,3 +65,25 @@
 	}
 	w.runners[member] = fresh
 }
+
+const (
+	surgeFactor = 2.5
+	surgeStart  = 0.4
+	surgeEnd    = 0.6
+	staleShare  = 3
+)
+
+// Surge lets the work grow without warning and end as suddenly, while a third of the processes hear nothing new.
+func Surge() Scenario {
+	return Scenario{Name: "surge", Prepare: func(w *world) {
+		usual := w.deployment.PerSecond
+		w.after(timekeeper.Millis(surgeStart*float64(w.end)), func() {
+			w.deployment.PerSecond = usual * surgeFactor
+			w.deaf = staleShare
+		})
+		w.after(timekeeper.Millis(surgeEnd*float64(w.end)), func() {
+			w.deployment.PerSecond = usual
+			w.deaf = 0
+		})
+	}}
+}
--- a/fleet/exchanger/table.go
+++ b/fleet/exchanger/table.go
@@ -18,6 +18,8 @@
 	StateCold
 	StateLeaving
 	StateDown
+	// StateFull means that work waits for the endpoint.
+	StateFull
 )
 
 // Names of the states for people.
@@ -27,6 +29,7 @@
 	StateCold:    "cold",
 	StateLeaving: "leaving",
 	StateDown:    "down",
+	StateFull:    "full",
 }
 
 // String names the state.
@@ -34,7 +37,7 @@
 	return stateNames[s]
 }
 
-// Load is the load of one endpoint as seen from afar.
+// Load is the load of one endpoint as seen from afar; Busy counts what runs and not what waits.
 type Load struct {
 	Busy  int
 	State State
@@ -150,7 +153,7 @@
 	for i := range t.loads {
 		entry := vector[i*bytesPerEndpoint:]
 		state, code := State(entry[1]>>stateShift), entry[1]&ageMask
-		if state == StateUnknown || state > StateDown || code == unknownAge {
+		if state == StateUnknown || state > StateFull || code == unknownAge {
 			continue
 		}
 		if at := now - ages[code]; at > t.loads[i].At {
--- a/fleet/placer/placer.go
+++ b/fleet/placer/placer.go
@@ -11,7 +11,9 @@
 const (
 	remotePenalty = 1
 	coldPenalty   = 4
+	fullPenalty   = 64
 	maxExcluded   = 8
+	outageBound   = 1.1
 )
 
 // Reason says why a member was chosen.
@@ -87,7 +89,18 @@
 	ranked [Choices]int
 	scores [Choices]float64
 	count  int
-	mean   float64
+	load   groupLoad
+}
+
+// groupLoad is the load of a group over its usable members.
+type groupLoad struct {
+	total    int
+	usable   int
+	declared int
+}
+
+func (l groupLoad) mean() float64 {
+	return float64(l.total) / float64(max(l.usable, 1))
 }
 
 // Usable tells whether a member may be proposed new work.
@@ -104,18 +117,15 @@
 
 func (p *Placer) survey(g *Group, chat model.ChatKey, excluded *Exclusions) survey {
 	var s survey
-	total, usable := 0, 0
+	s.load.declared = len(g.Members)
 	for i := range g.Members {
 		if !p.Usable(g, i, excluded) {
 			continue
 		}
-		total += p.busy(g, i)
-		usable++
+		s.load.total += p.busy(g, i)
+		s.load.usable++
 		s.insert(i, g.score(&g.Members[i], chat))
 	}
-	if usable > 0 {
-		s.mean = float64(total) / float64(usable)
-	}
 
 	return s
 }
@@ -144,33 +154,46 @@
 	if g.Members[member].Domain != p.domain {
 		cost += remotePenalty
 	}
-	if p.table.At(g.Members[member].Index).State == exchanger.StateCold {
+	switch p.table.At(g.Members[member].Index).State {
+	case exchanger.StateCold:
 		cost += coldPenalty
+	case exchanger.StateFull:
+		cost += fullPenalty
+	default:
 	}
 
 	return cost
 }
 
-// Mean returns the mean busy count over the usable members.
-func (p *Placer) Mean(g *Group) float64 {
+func (p *Placer) load(g *Group) groupLoad {
 	var none Exclusions
-	total, usable := 0, 0
+	l := groupLoad{declared: len(g.Members)}
 	for i := range g.Members {
 		if p.Usable(g, i, &none) {
-			total += p.busy(g, i)
-			usable++
+			l.total += p.busy(g, i)
+			l.usable++
 		}
 	}
-	if usable == 0 {
-		return 0
-	}
 
-	return float64(total) / float64(usable)
+	return l
 }
 
-// Limit returns the busy count up to which a member is given work at a mean; equal members can always take one more.
-func (g *Group) Limit(mean float64) int {
-	return max(g.Floor, int(g.Bound*mean)+1)
+// Mean returns the mean busy count over the usable members.
+func (p *Placer) Mean(g *Group) float64 {
+	return p.load(g).mean()
+}
+
+// Limit returns the busy count up to which a member is given work now.
+func (p *Placer) Limit(g *Group) int {
+	return g.limit(p.load(g))
+}
+
+// limit lets equal members always take one more. Members that are away count as empty, down to a least bound over the
+// others, so that the load is still under the declared bound when they come back and the mean falls at once.
+func (g *Group) limit(l groupLoad) int {
+	whole := float64(l.total) / float64(max(l.declared, 1))
+
+	return max(g.Floor, int(max(g.Bound*whole, min(g.Bound, outageBound)*l.mean()))+1)
 }
 
 // Choose is the router's choice: the hint, the least loaded head for a first turn, else the home.
@@ -179,7 +202,7 @@
 	if s.count == 0 {
 		return Choice{Member: NoMember, Reason: ReasonNone}
 	}
-	limit := g.Limit(s.mean)
+	limit := g.limit(s.load)
 	if r.Hint != NoMember && p.Usable(g, r.Hint, &r.Excluded) && p.busy(g, r.Hint) < limit {
 		return Choice{Member: r.Hint, Reason: ReasonHint, Placed: true}
 	}
@@ -219,7 +242,7 @@
 	if s.count == 0 {
 		return Choice{Member: NoMember, Reason: ReasonNone}
 	}
-	limit := g.Limit(s.mean)
+	limit := g.limit(s.load)
 	best := NoMember
 	for _, id := range holders {
 		m := g.Find(id)
--- a/router/internal/dispatcher/dispatcher.go
+++ b/router/internal/dispatcher/dispatcher.go
@@ -384,7 +384,7 @@
 	}
 	d.follower.View(func(v follower.View) {
 		v.Table.Observe(v.Snapshot.IndexOf(id), exchanger.Load{
-			Busy:  int(l.Running + l.Waiting),
+			Busy:  int(l.Running),
 			State: exchanger.State(l.State),
 			At:    d.follower.Clock.Now(),
 		})
--- a/router/internal/server/explain.go
+++ b/router/internal/server/explain.go
@@ -33,7 +33,7 @@
 func explain(e *exposer.Explanation, w follower.View, g *placer.Group, p *placer.Placer, chat model.ChatKey) {
 	e.Members = len(g.Members)
 	e.MeanLoad = p.Mean(g)
-	e.Limit = g.Limit(e.MeanLoad)
+	e.Limit = p.Limit(g)
 	head, count := p.Head(g, chat)
 	for _, m := range head[:count] {
 		l := w.Table.At(g.Members[m].Index)
--- a/sidecar/internal/worker/filter_place.go
+++ b/sidecar/internal/worker/filter_place.go
@@ -58,7 +58,7 @@
 	l := w.load()
 
 	return exchanger.Load{
-		Busy:  int(l.Running + l.Waiting),
+		Busy:  int(l.Running),
 		State: exchanger.State(l.State),
 		At:    w.clock.Now(),
 	}
--- a/sidecar/internal/worker/worker.go
+++ b/sidecar/internal/worker/worker.go
@@ -202,6 +202,8 @@
 		return exchanger.StateDown
 	case w.stopping || leaving:
 		return exchanger.StateLeaving
+	case w.admitter.Waiting() > 0:
+		return exchanger.StateFull
 	case w.admitter.Limiter.Cold():
 		return exchanger.StateCold
 	default:
