--- a/fleet/loader/loader.go
+++ b/fleet/loader/loader.go
@@ -159,3 +159,13 @@
 		return "another kind of value"
 	}
 }
+
+// Row returns the option's line in the settings table of docs/CONFIGURATION.md.
+func (o Option) Row() string {
+	required := ""
+	if o.Required {
+		required = "required"
+	}
+
+	return fmt.Sprintf("| `%s` | %s | %s | %s | %s | %s |", o.Name, required, o.Default, o.Unit, o.Bound, o.Meaning)
+}
--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -10,7 +10,6 @@
 var (
 	EventStarted            = Event{100, "process-started", levelInfo, "The process started; its listen addresses follow."}
 	EventListening          = Event{101, "listening", levelInfo, "A listener is bound."}
-	EventReady              = Event{102, "ready", levelInfo, "The process takes work."}
 	EventShutdownStarted    = Event{103, "shutdown-started", levelInfo, "No new work; running requests finish."}
 	EventShutdownFinished   = Event{104, "shutdown-finished", levelInfo, "Every running request has finished."}
 	EventConfigAccepted     = Event{200, "configuration-accepted", levelInfo, "A higher version is in force."}
@@ -26,22 +25,19 @@
 	EventEndpointLeaving    = Event{303, "endpoint-leaving", levelInfo, "The endpoint takes no new work."}
 	EventSuspect            = Event{310, "request-suspected", levelWarn, "A request was in flight when its endpoint crashed."}
 	EventCondemned          = Event{311, "request-condemned", levelAlarm, "A request crashed two endpoints and is refused."}
-	EventOrderFailed        = Event{320, "engine-order-failed", levelWarn, "An engine order was refused or not answered."}
-	EventOrderDone          = Event{321, "engine-order-done", levelInfo, "An engine order took effect."}
 	EventCrossedAnswer      = Event{400, "crossed-answer", levelAlarm, "An answer to another attempt arrived and was dropped."}
 	EventIncompleteAnswer   = Event{401, "incomplete-answer", levelWarn, "A stream ended without its end mark."}
 	EventRetryBudgetEmpty   = Event{402, "retry-budget-empty", levelWarn, "A retry was not made since the budget is spent."}
-	EventClockJump          = Event{403, "clock-jump", levelAlarm, "The wall clock of the VM jumped."}
 )
 
 // Catalogue returns every event in order of its number.
 func Catalogue() []Event {
 	return []Event{
-		EventStarted, EventListening, EventReady, EventShutdownStarted, EventShutdownFinished,
+		EventStarted, EventListening, EventShutdownStarted, EventShutdownFinished,
 		EventConfigAccepted, EventConfigInvalid, EventConfigConflict, EventServiceUnreachable,
 		EventPeerFailed, EventVMListFailed, EventPeerRefused,
 		EventEndpointDown, EventEndpointUp, EventEndpointCold, EventEndpointLeaving,
-		EventSuspect, EventCondemned, EventOrderFailed, EventOrderDone,
-		EventCrossedAnswer, EventIncompleteAnswer, EventRetryBudgetEmpty, EventClockJump,
+		EventSuspect, EventCondemned,
+		EventCrossedAnswer, EventIncompleteAnswer, EventRetryBudgetEmpty,
 	}
 }
