Lint: a stored answer is sent without an error to drop

Cause: nilerr on the send of a stored answer, which the caller finds again under its key. Ruled out: a lost error. Change: the loop is a method without a result.

--- a/sidecar/internal/worker/execute.go
+++ b/sidecar/internal/worker/execute.go
@@ -180,11 +180,7 @@
 		{Event: &messenger.RunEvent_Piece{Piece: &messenger.Piece{Number: 1, Data: a.Body}}},
 		{Event: &messenger.RunEvent_End{End: &messenger.End{Pieces: 1, Digest: xxhash.Sum64(a.Body)}}},
 	}
-	for _, e := range events {
-		if j.emit(e) != nil {
-			break
-		}
-	}
+	j.emitAll(events)
 
 	return nil
 }
--- a/sidecar/internal/worker/job.go
+++ b/sidecar/internal/worker/job.go
@@ -77,3 +77,12 @@
 
 	return nil
 }
+
+// emitAll sends events until the caller is gone.
+func (j *job) emitAll(events []*messenger.RunEvent) {
+	for _, e := range events {
+		if j.emit(e) != nil {
+			return
+		}
+	}
+}
