A caller that is still sending reads its refusal; doubled start-up and long files mended

Cause: a body over the limit was answered 413 and the connection closed with bytes unread, so the kernel reset it, and a caller in the middle of sending lost the answer. Ruled out: the caller of the tests; net/http reads the answer when the connection is not reset. Change: the router closes its sending half first and reads on for up to a second.

No check changed.

--- a/experimenter/internal/launcher/fleet.go
+++ b/experimenter/internal/launcher/fleet.go
@@ -1,9 +1,6 @@
 package launcher
 
 import (
-	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,7 +8,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"time"
 
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
@@ -242,48 +238,6 @@
 	return err
 }
 
-func digest(token string) string {
-	sum := sha256.Sum256([]byte(token))
-
-	return hex.EncodeToString(sum[:])
-}
-
-// Document returns the first configuration of the fleet.
-func (f *Fleet) Document() model.Document {
-	d := model.Document{
-		Fleet: model.Fleet{
-			Domains:   map[model.DomainID]model.Domain{},
-			Services:  map[model.ServiceID]model.Service{},
-			Endpoints: f.endpoints,
-			ProcessKeys: map[string]model.ProcessKey{
-				"routers":   {Role: model.RoleRouter, TokenSHA256: digest(RouterToken)},
-				"sidecars":  {Role: model.RoleSidecar, TokenSHA256: digest(SidecarToken)},
-				"operators": {Role: model.RoleOperator, TokenSHA256: digest(OperatorToken)},
-			},
-		},
-		Accounts: map[model.AccountID]model.Account{Account: {TokenSHA256: digest(CallerToken)}},
-	}
-	for n := range f.spec.Domains {
-		d.Fleet.Domains[f.domain(n)] = model.Domain{Region: "region-1", State: model.DomainIn}
-	}
-	homes := map[model.ServiceID][]model.EndpointID{}
-	for n := range f.spec.Engines {
-		homes[EngineService] = append(homes[EngineService], model.EndpointID(fmt.Sprintf("engine-%d", n+1)))
-	}
-	for n := range f.spec.Plains {
-		homes[PlainService] = append(homes[PlainService], model.EndpointID(fmt.Sprintf("lane-%d", n+1)))
-	}
-	d.Fleet.Services[EngineService] = model.Service{
-		Kind: model.KindEngine, Homes: []model.HomeGeneration{{Number: 1, Endpoints: homes[EngineService]}},
-	}
-	d.Fleet.Services[PlainService] = model.Service{
-		Kind: model.KindPlain, ClockSkew: 1,
-		Homes: []model.HomeGeneration{{Number: 1, Endpoints: homes[PlainService]}},
-	}
-
-	return d
-}
-
 func (f *Fleet) publish() error {
 	d := f.Document()
 	if f.spec.Change != nil {
@@ -319,32 +273,6 @@
 	return err
 }
 
-// Send sends a JSON body and returns the text of a successful answer.
-func Send(method, url string, body any) (string, error) {
-	raw, err := json.Marshal(body)
-	if err != nil {
-		return "", fmt.Errorf("launcher: %s: %w", url, err)
-	}
-	request, err := http.NewRequest(method, url, bytes.NewReader(raw))
-	if err != nil {
-		return "", fmt.Errorf("launcher: %s: %w", url, err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return "", fmt.Errorf("launcher: %s: %w", url, err)
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		return "", fmt.Errorf("launcher: %s: %w", url, err)
-	}
-	if response.StatusCode >= http.StatusBadRequest {
-		return "", fmt.Errorf("launcher: %s: status %d: %s", url, response.StatusCode, text)
-	}
-
-	return string(text), nil
-}
-
 const (
 	readyTimeout = 60 * timekeeper.Second
 	readyPoll    = 50 * timekeeper.Millis(1)
@@ -361,29 +289,6 @@
 	return nil
 }
 
-// Await polls a condition until it holds or the wait is over.
-func Await(condition func() bool) error {
-	deadline := time.Now().Add(readyTimeout.Duration())
-	for !condition() {
-		if time.Now().After(deadline) {
-			return ErrNotReady
-		}
-		time.Sleep(readyPoll.Duration())
-	}
-
-	return nil
-}
-
-func isReady(p *Process) bool {
-	response, err := http.Get("http://" + p.Address("operator") + "/readyz")
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-
-	return response.StatusCode == http.StatusOK
-}
-
 // Running returns every router and sidecar.
 func (f *Fleet) Running() []*Process {
 	processes := append([]*Process{}, f.Routers...)
@@ -448,18 +353,3 @@
 
 	return total, nil
 }
-
-// Fetch returns the text of a page.
-func Fetch(url string) (string, error) {
-	response, err := http.Get(url)
-	if err != nil {
-		return "", fmt.Errorf("launcher: %s: %w", url, err)
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		return "", fmt.Errorf("launcher: %s: %w", url, err)
-	}
-
-	return string(text), nil
-}
--- a/fleet/deduplicator/home.go
+++ b/fleet/deduplicator/home.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cardamompulley/fleet/hasher"
 	"cardamompulley/fleet/model"
 )
 
@@ -31,7 +32,7 @@
 	var bestScore uint64
 	keyHash := k.hash()
 	for _, e := range g.Endpoints {
-		score := mix(keyHash ^ xxhash.Sum64String(string(e)))
+		score := hasher.Mix(keyHash ^ xxhash.Sum64String(string(e)))
 		if best == "" || score > bestScore || (score == bestScore && e < best) {
 			best = e
 			bestScore = score
@@ -41,16 +42,6 @@
 	return best
 }
 
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-
-	return x
-}
-
 // Newest returns the newest generation of a service, false when it declares none.
 func Newest(homes []model.HomeGeneration) (model.HomeGeneration, bool) {
 	if len(homes) == 0 {
--- /dev/null
+++ b/fleet/hasher/doc.go
@@ -0,0 +1,2 @@
+// Package hasher mixes hashes for rendezvous hashing.
+package hasher
--- a/fleet/placer/group.go
+++ b/fleet/placer/group.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cardamompulley/fleet/configurator"
+	"cardamompulley/fleet/hasher"
 	"cardamompulley/fleet/model"
 )
 
@@ -106,7 +107,7 @@
 }
 
 func (g *Group) score(m *Member, chat model.ChatKey) float64 {
-	h := mix(uint64(chat) ^ m.seed)
+	h := hasher.Mix(uint64(chat) ^ m.seed)
 	if !g.weighted {
 		return float64(h >> 11)
 	}
@@ -114,13 +115,3 @@
 
 	return -m.weight / math.Log(u)
 }
-
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-
-	return x
-}
--- a/router/internal/cli/cli.go
+++ b/router/internal/cli/cli.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
-	"net/http"
-
-	"github.com/sourcegraph/conc"
 
 	"cardamompulley/fleet/configurator"
 	"cardamompulley/fleet/exposer"
@@ -36,6 +34,7 @@
 	return runner.ExitOK
 }
 
+// serve keeps the signal handler until the end, so that a second signal cuts nothing that still runs.
 func serve(s settings.Settings, out, errs io.Writer) error {
 	ctx, stop := runner.Signals()
 	defer stop()
@@ -47,66 +46,25 @@
 	}
 	f := follower.NewFollower(s.Settings, model.RoleRouter, configurator.NeedsAll, timekeeper.NewSystem(), log)
 	v := server.NewServer(s, f, spans)
-	p, err := newProcess(s, f, v, out, log)
-	if err != nil {
+	p := runner.NewProcess(out, log)
+	if err := listen(p, s, f, v); err != nil {
 		return err
 	}
-	background, endBackground := context.WithCancel(context.Background())
-	var g conc.WaitGroup
-	for _, start := range p.starts {
-		g.Go(start)
-	}
-	g.Go(func() { f.Run(background) })
-
-	// A second signal must not cut what still runs, so the handler stays until the end.
-	<-ctx.Done()
-	log.Write(logger.EventShutdownStarted)
-	grace, cancel := context.WithTimeout(context.Background(), s.ShutdownGrace.Duration())
-	defer cancel()
-	err = v.Stop(grace)
-	endBackground()
-	_ = p.peer.Close()
-	_ = p.exposer.Stop()
-	g.Wait()
-	log.Write(logger.EventShutdownFinished)
-	if flushErr := spans.Stop(context.Background()); flushErr != nil && err == nil {
-		err = flushErr
-	}
-
-	return err
-}
+	err = p.Run(ctx, s.ShutdownGrace, v.Stop, f.Run)
 
-// process is the servers of the router.
-type process struct {
-	peer    *http.Server
-	exposer *exposer.Exposer
-	starts  []func()
+	return errors.Join(err, spans.Stop(context.Background()))
 }
 
-func newProcess(s settings.Settings, f *follower.Follower, v *server.Server, out io.Writer, log logger.Logger) (*process, error) {
-	peerMux := http.NewServeMux()
-	peerMux.Handle(f.PeerHandler())
-	p := &process{peer: runner.NewServer(peerMux), exposer: exposer.NewExposer(s.Process, f)}
-	p.exposer.Ready = v.Ready
-	p.exposer.Handle("/explain", v.HandleExplain)
-
-	callers, err := runner.Listen("callers", s.Listen, out, log)
-	if err != nil {
-		return nil, err
-	}
-	peers, err := runner.Listen("peer", s.PeerListen, out, log)
-	if err != nil {
-		return nil, err
-	}
-	operators, err := runner.Listen("operator", s.OperatorListen, out, log)
-	if err != nil {
-		return nil, err
+func listen(p *runner.Process, s settings.Settings, f *follower.Follower, v *server.Server) error {
+	if err := p.Serve("callers", s.Listen, v.Serve, func() error { return nil }); err != nil {
+		return err
 	}
-	p.starts = []func(){
-		func() { _ = v.Serve(callers) },
-		func() { _ = runner.Serve(p.peer, f.Control.Listener(peers)) },
-		func() { _ = p.exposer.Serve(operators) },
+	if _, err := p.ServeMessages("peer", s.PeerListen, f.PeerHandler, f.Control.Listener); err != nil {
+		return err
 	}
+	x := exposer.NewExposer(s.Process, f)
+	x.Ready = v.Ready
+	x.Handle("/explain", v.HandleExplain)
 
-	return p, nil
+	return p.Serve("operator", s.OperatorListen, x.Serve, x.Stop)
 }
--- a/router/internal/server/stall.go
+++ b/router/internal/server/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -37,3 +38,23 @@
 
 	return c.Conn.Write(b)
 }
+
+const (
+	lingerTime  = timekeeper.Second
+	lingerBytes = 64 << 20
+)
+
+// Close lets a caller that is still sending read the answer first: unread bytes would make the kernel reset the connection.
+func (c *stallConn) Close() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return c.Conn.Close()
+	}
+	go func() {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime.Duration()))
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+		_ = c.Conn.Close()
+	}()
+
+	return nil
+}
--- a/sidecar/internal/cli/cli.go
+++ b/sidecar/internal/cli/cli.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 
-	"github.com/sourcegraph/conc"
-
 	"cardamompulley/fleet/configurator"
 	"cardamompulley/fleet/exposer"
 	"cardamompulley/fleet/follower"
@@ -36,6 +36,7 @@
 	return runner.ExitOK
 }
 
+// serve keeps the signal handler until the end, so that a second signal cuts nothing that still runs.
 func serve(s settings.Settings, out, errs io.Writer) error {
 	ctx, stop := runner.Signals()
 	defer stop()
@@ -50,91 +51,34 @@
 	if err != nil {
 		return err
 	}
-	p, err := newProcess(s, f, w, out, log)
+	p := runner.NewProcess(out, log)
+	work, err := listen(p, s, f, w)
 	if err != nil {
 		return err
 	}
-	background, endBackground := context.WithCancel(context.Background())
-	var g conc.WaitGroup
-	p.start(&g)
-	g.Go(func() { f.Run(background) })
-	g.Go(func() { w.Control(background) })
+	drain := func(ctx context.Context) error {
+		if err := w.Stop(ctx); err != nil {
+			return err
+		}
 
-	// A second signal must not cut what still runs, so the handler stays until the end.
-	<-ctx.Done()
-	log.Write(logger.EventShutdownStarted)
-	err = p.shutdown(s.ShutdownGrace)
-	endBackground()
-	p.stop()
-	g.Wait()
-	log.Write(logger.EventShutdownFinished)
-	if flushErr := spans.Stop(context.Background()); flushErr != nil && err == nil {
-		err = flushErr
+		return work.Shutdown(ctx)
 	}
+	err = p.Run(ctx, s.ShutdownGrace, drain, f.Run, w.Control)
 
-	return err
-}
-
-// process is the servers of the sidecar.
-type process struct {
-	worker  *worker.Worker
-	work    *http.Server
-	peer    *http.Server
-	exposer *exposer.Exposer
-	starts  []func()
+	return errors.Join(err, spans.Stop(context.Background()))
 }
 
-func newProcess(s settings.Settings, f *follower.Follower, w *worker.Worker, out io.Writer, log logger.Logger) (*process, error) {
-	p := &process{worker: w, exposer: exposer.NewExposer(s.Process, f)}
-	p.exposer.Ready = w.Ready
-	workMux, peerMux := http.NewServeMux(), http.NewServeMux()
-	workMux.Handle(w.Handler())
-	peerMux.Handle(f.PeerHandler())
-	p.work, p.peer = runner.NewServer(workMux), runner.NewServer(peerMux)
-
-	workListener, err := runner.Listen("work", s.WorkListen, out, log)
-	if err != nil {
-		return nil, err
-	}
-	peerListener, err := runner.Listen("peer", s.PeerListen, out, log)
+func listen(p *runner.Process, s settings.Settings, f *follower.Follower, w *worker.Worker) (*http.Server, error) {
+	uncounted := func(l net.Listener) net.Listener { return l }
+	work, err := p.ServeMessages("work", s.WorkListen, w.Handler, uncounted)
 	if err != nil {
 		return nil, err
 	}
-	operatorListener, err := runner.Listen("operator", s.OperatorListen, out, log)
-	if err != nil {
+	if _, err := p.ServeMessages("peer", s.PeerListen, f.PeerHandler, f.Control.Listener); err != nil {
 		return nil, err
 	}
-	p.starts = []func(){
-		func() { _ = runner.Serve(p.work, workListener) },
-		func() { _ = runner.Serve(p.peer, f.Control.Listener(peerListener)) },
-		func() { _ = p.exposer.Serve(operatorListener) },
-	}
-
-	return p, nil
-}
-
-func (p *process) start(g *conc.WaitGroup) {
-	for _, start := range p.starts {
-		g.Go(start)
-	}
-}
-
-// shutdown lets every running request finish within the grace.
-func (p *process) shutdown(grace timekeeper.Millis) error {
-	ctx, cancel := context.WithTimeout(context.Background(), grace.Duration())
-	defer cancel()
-	if err := p.worker.Stop(ctx); err != nil {
-		return err
-	}
-	if err := p.work.Shutdown(ctx); err != nil {
-		return fmt.Errorf("cli: shutdown: %w", err)
-	}
-
-	return nil
-}
+	x := exposer.NewExposer(s.Process, f)
+	x.Ready = w.Ready
 
-func (p *process) stop() {
-	_ = p.work.Close()
-	_ = p.peer.Close()
-	_ = p.exposer.Stop()
+	return work, p.Serve("operator", s.OperatorListen, x.Serve, x.Stop)
 }
