--- a/experimenter/internal/launcher/fleet.go
+++ b/experimenter/internal/launcher/fleet.go
@@ -43,6 +43,8 @@
 	EngineFlags []string
 	// SidecarSettings are added to the settings of every sidecar.
 	SidecarSettings map[string]any
+	// RouterSettings are added to the settings of every router.
+	RouterSettings map[string]any
 	// Change alters the first document before it is published.
 	Change func(*model.Document)
 	Logs   io.Writer
@@ -170,7 +172,7 @@
 
 func (f *Fleet) startRouter(n int) error {
 	name := fmt.Sprintf("router-%d", n+1)
-	path, err := f.settings(name, string(f.domain(n)), RouterToken)
+	path, err := f.settings(name, string(f.domain(n)), RouterToken, f.spec.RouterSettings)
 	if err != nil {
 		return err
 	}
