The default admission bound stays under a declared load bound; what nothing used is gone

Cause, found by reading as a newcomer: a service that declared a load bound under 1.5 and no admission bound was given work up to 1.5. Ruled out: the check of the document; it compares only what is declared. Change: the default is the lower of the two; a table test holds it. Also gone: message fields, a code, a check and a method that nothing used; fleet says of an endpoint that it has not been heard of in place of an age of decades.

--- a/cardamompulley/internal/cli/fleet.go
+++ b/cardamompulley/internal/cli/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 	"github.com/sourcegraph/conc/iter"
 
+	"cardamompulley/fleet/exchanger"
 	"cardamompulley/fleet/exposer"
 	"cardamompulley/fleet/follower"
 	"cardamompulley/fleet/messenger"
@@ -99,8 +100,12 @@
 		fmt.Fprintf(c.out, "domain   %-16s %s\n", id, d.State)
 	}
 	for _, e := range r.Endpoints {
-		fmt.Fprintf(c.out, "endpoint %-16s service %-12s domain %-12s busy %-4d %-8s seen %d ms ago\n",
-			e.ID, e.Service, e.Domain, e.Busy, e.State, e.Age)
+		seen := fmt.Sprintf("seen %d ms ago", e.Age)
+		if e.State == exchanger.StateUnknown.String() {
+			seen = "not heard of yet"
+		}
+		fmt.Fprintf(c.out, "endpoint %-16s service %-12s domain %-12s busy %-4d %-8s %s\n",
+			e.ID, e.Service, e.Domain, e.Busy, e.State, seen)
 	}
 	for _, p := range r.Processes {
 		fmt.Fprintf(c.out, "process  %-24s %-8s %-8s version %d %s\n", p.Process, p.Role, p.State, p.Version, p.Problem)
--- a/experimenter/internal/cli/measure.go
+++ b/experimenter/internal/cli/measure.go
@@ -34,10 +34,12 @@
 
 		return subcommands.ExitFailure
 	}
+	rollouts := measurer.Rollouts()
 	if m.output == "json" {
-		err = json.NewEncoder(m.out).Encode(rows)
+		err = json.NewEncoder(m.out).Encode(map[string]any{"rows": rows, "rollouts": rollouts})
 	} else {
 		measurer.Print(m.out, rows)
+		measurer.PrintRollouts(m.out, rollouts)
 	}
 	if err != nil {
 		return subcommands.ExitFailure
--- a/fleet/configurator/checker.go
+++ b/fleet/configurator/checker.go
@@ -26,11 +26,6 @@
 	return c.result()
 }
 
-// CheckFleet returns a FaultList when the fleet part cannot be put in force.
-func CheckFleet(fleet model.Fleet) error {
-	return Check(model.Document{Fleet: fleet})
-}
-
 type checker struct {
 	fleet  model.Fleet
 	faults FaultList
--- a/fleet/holder/directory.go
+++ b/fleet/holder/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
@@ -52,21 +51,6 @@
 	return held
 }
 
-// Forget removes an endpoint that has lost a chat.
-func (d *Directory) Forget(chat model.ChatKey, id model.EndpointID) {
-	held, ok := d.chats.Peek(chat)
-	if !ok {
-		return
-	}
-	kept := slices.DeleteFunc(slices.Clone(held), func(h model.EndpointID) bool { return h == id })
-	if len(kept) == 0 {
-		d.chats.Remove(chat)
-
-		return
-	}
-	d.chats.Add(chat, kept)
-}
-
 // Len returns how many chats are remembered.
 func (d *Directory) Len() int {
 	return d.chats.Len()
--- a/fleet/model/refusal.go
+++ b/fleet/model/refusal.go
@@ -25,7 +25,6 @@
 	CodeBadRequest         Code = "bad-request"
 	CodeBodyTooLarge       Code = "body-too-large"
 	CodeUnauthorized       Code = "unauthorized"
-	CodeForbidden          Code = "forbidden"
 	CodeUnknownModel       Code = "unknown-model"
 	CodeUnknownService     Code = "unknown-service"
 	CodeKeyRequired        Code = "idempotency-key-required"
--- a/fleet/placer/group.go
+++ b/fleet/placer/group.go
@@ -16,7 +16,6 @@
 
 // Default bounds of a service that declares none.
 const (
-	DefaultLoadBound      = 2.0
 	DefaultAdmissionBound = 1.5
 	DefaultLoadFloor      = 4
 )
@@ -53,7 +52,7 @@
 	service := s.Fleet.Services[key.Service]
 	g := &Group{Bound: service.AdmissionBound, Floor: service.LoadFloor}
 	if g.Bound == 0 {
-		g.Bound = DefaultAdmissionBound
+		g.Bound = defaultBound(service.LoadBound)
 	}
 	if g.Floor == 0 {
 		g.Floor = DefaultLoadFloor
@@ -69,6 +68,15 @@
 	return g
 }
 
+// defaultBound keeps under a declared load bound that is lower than the default.
+func defaultBound(declared float64) float64 {
+	if declared == 0 {
+		return DefaultAdmissionBound
+	}
+
+	return min(DefaultAdmissionBound, declared)
+}
+
 func serves(e model.Endpoint, key GroupKey) bool {
 	if key.Model != "" && !slices.Contains(e.Models, key.Model) {
 		return false
--- a/fleet/placer/placer_test.go
+++ b/fleet/placer/placer_test.go
@@ -89,6 +89,15 @@
 	}
 }
 
+func TestAdmissionBoundStaysUnderTheDeclaredLoadBound(t *testing.T) {
+	cases := []struct{ declared, want float64 }{{0, DefaultAdmissionBound}, {1.2, 1.2}, {3, DefaultAdmissionBound}}
+	for _, c := range cases {
+		if got := defaultBound(c.declared); got != c.want {
+			t.Errorf("declared %v: admission bound %v, want %v", c.declared, got, c.want)
+		}
+	}
+}
+
 func BenchmarkChoose840(b *testing.B) {
 	g, table := groupOf(840)
 	p := NewPlacer("0", table)
--- a/router/internal/parser/chat.go
+++ b/router/internal/parser/chat.go
@@ -24,7 +24,6 @@
 	Key          model.ChatKey
 	FirstTurn    bool
 	PromptTokens model.Tokens
-	MaxTokens    model.Tokens
 	Fingerprint  model.Fingerprint
 }
 
@@ -66,7 +65,6 @@
 		Key:          chatKey(account, &b, messages),
 		FirstTurn:    !hasAnswer(messages),
 		PromptTokens: model.Tokens(len(b.Messages) / charactersPerToken),
-		MaxTokens:    b.MaxTokens,
 		Fingerprint:  fingerprint(account, b.Model, b.Messages),
 	}, nil
 }
--- a/router/internal/server/chat.go
+++ b/router/internal/server/chat.go
@@ -50,7 +50,6 @@
 		Stream:         chat.Stream,
 		Priority:       b.priority,
 		PromptTokens:   int64(chat.PromptTokens),
-		ExpectedTokens: int64(chat.MaxTokens),
 		Fingerprint:    uint64(chat.Fingerprint),
 		FirstTurn:      chat.FirstTurn,
 		Idempotent:     b.key == "",
--- a/router/internal/server/problem.go
+++ b/router/internal/server/problem.go
@@ -27,7 +27,6 @@
 	model.CodeBadRequest:         fiber.StatusBadRequest,
 	model.CodeBodyTooLarge:       fiber.StatusRequestEntityTooLarge,
 	model.CodeUnauthorized:       fiber.StatusUnauthorized,
-	model.CodeForbidden:          fiber.StatusForbidden,
 	model.CodeUnknownModel:       fiber.StatusNotFound,
 	model.CodeUnknownService:     fiber.StatusNotFound,
 	model.CodeKeyRequired:        fiber.StatusBadRequest,
