--- a/fleet/admitter/limiter.go
+++ b/fleet/admitter/limiter.go
@@ -14,6 +14,7 @@
 	recoldSamples    = 2
 	baselineShare    = 0.1
 	slowShare        = 0.02
+	gapCapShare      = 2
 	defaultMax       = 64
 	minBaselineFirst = 20 * timekeeper.Millis(1)
 	minBaselineGap   = 5 * timekeeper.Millis(1)
@@ -155,10 +156,10 @@
 func (l *Limiter) detectCold(s Sample) bool {
 	slow := false
 	if s.Uncached <= shortPrefill {
-		slow = l.first.judge(s.FirstToken, minBaselineFirst)
+		slow = l.first.judge(s.FirstToken, minBaselineFirst, l.targets.FirstToken/recoldFactor)
 	}
 	if s.TokenGap > 0 {
-		slow = l.gap.judge(s.TokenGap, minBaselineGap) || slow
+		slow = l.gap.judge(s.TokenGap, minBaselineGap, l.targets.TokenGap/gapCapShare) || slow
 	}
 	if l.cold && s.Uncached <= shortPrefill && l.over(s) {
 		// During a cold start there is little history to compare with, so the targets decide as well.
@@ -179,11 +180,15 @@
 	usual float64
 }
 
-// judge tells whether a latency is far over the usual one; such a latency moves the baseline only a little.
-func (b *baseline) judge(seen, least timekeeper.Millis) bool {
+// judge tells whether a latency is far over the usual one; such a latency moves the baseline only a little, and the first
+// is taken for usual only up to a most, where that is not zero.
+func (b *baseline) judge(seen, least, most timekeeper.Millis) bool {
 	latency := float64(max(seen, least))
 	if b.usual == 0 {
 		b.usual = latency
+		if most > 0 {
+			b.usual = min(latency, float64(most))
+		}
 	}
 	if latency >= recoldFactor*b.usual {
 		b.usual += slowShare * (latency - b.usual)
--- a/fleet/admitter/limiter_test.go
+++ b/fleet/admitter/limiter_test.go
@@ -42,6 +42,26 @@
 	}
 }
 
+func TestSlowFirstAnswersAreNotTakenForUsual(t *testing.T) {
+	const normalAnswers = 14
+	l := NewLimiter(2, Targets{FirstToken: 610, TokenGap: 57})
+	for range 2 {
+		l.Observe(Sample{FirstToken: 900})
+	}
+	for range normalAnswers {
+		l.Observe(Sample{FirstToken: 40})
+	}
+	if l.Cold() {
+		t.Fatal("still cold after normal answers")
+	}
+	for range 2 {
+		l.Observe(Sample{FirstToken: 900})
+	}
+	if !l.Cold() {
+		t.Fatal("a cold start was not seen, since the first answers had been slow")
+	}
+}
+
 func TestColdLimitGrowsByWorkAndNotByTime(t *testing.T) {
 	a := NewAdmitter(NewLimiter(32, Targets{}))
 	started := 0
--- a/fleet/configurator/starter.go
+++ b/fleet/configurator/starter.go
@@ -50,7 +50,7 @@
 	case paused && s.ready:
 		*s = Starter{since: now, wait: wakeWait, need: 1}
 	case paused:
-		s.since += gap
+		*s = Starter{since: now, wait: s.wait, need: s.need}
 	}
 	s.beat = now
 }
--- a/fleet/configurator/starter_test.go
+++ b/fleet/configurator/starter_test.go
@@ -29,6 +29,13 @@
 		}, timekeeper.Second, true},
 		{"bounded wait", func(s *Starter) { beats(s, 0, startWait) }, startWait, true},
 		{"a pause is no wait", func(s *Starter) { s.Beat(timekeeper.Second) }, timekeeper.Minute, false},
+		{"paused after three peers, before it was asked", func(s *Starter) {
+			beats(s, 0, timekeeper.Second)
+			s.HeardService()
+			s.HeardPeer("a")
+			s.HeardPeer("b")
+			s.HeardPeer("c")
+		}, timekeeper.Minute, false},
 		{"paused when ready", func(s *Starter) {
 			beats(s, 0, startWait)
 			s.Ready(startWait, peers)
