--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	@bin/experimenter demo
 
 test: build
-	@CARDAMOMPULLEY_BIN=$(CURDIR)/bin go test -timeout 5m $(SKIP) $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	@CARDAMOMPULLEY_BIN=$(CURDIR)/bin go test -count=1 -timeout 5m $(SKIP) $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
 prove: build
 	@bin/experimenter prove
--- a/fleet/configurator/starter_test.go
+++ b/fleet/configurator/starter_test.go
@@ -27,21 +27,21 @@
 			s.HeardPeer("b")
 			s.HeardPeer("c")
 		}, timekeeper.Second, true},
-		{"bounded wait", func(s *Starter) { beats(s, 0, startWait) }, startWait, true},
+		{"bounded wait", func(s *Starter) { beats(s, startWait) }, startWait, true},
 		{"a pause is no wait", func(s *Starter) { s.Beat(timekeeper.Second) }, timekeeper.Minute, false},
 		{"paused after three peers, before it was asked", func(s *Starter) {
-			beats(s, 0, timekeeper.Second)
+			beats(s, timekeeper.Second)
 			s.HeardService()
 			s.HeardPeer("a")
 			s.HeardPeer("b")
 			s.HeardPeer("c")
 		}, timekeeper.Minute, false},
 		{"paused when ready", func(s *Starter) {
-			beats(s, 0, startWait)
+			beats(s, startWait)
 			s.Ready(startWait, peers)
 		}, startWait + timekeeper.Minute, false},
 		{"paused, then one peer heard", func(s *Starter) {
-			beats(s, 0, startWait)
+			beats(s, startWait)
 			s.Ready(startWait, peers)
 			s.Beat(startWait + timekeeper.Minute)
 			s.HeardPeer("a")
@@ -58,8 +58,8 @@
 	}
 }
 
-func beats(s *Starter, from, to timekeeper.Millis) {
-	for now := from; now <= to; now += timekeeper.Second {
+func beats(s *Starter, to timekeeper.Millis) {
+	for now := timekeeper.Millis(0); now <= to; now += timekeeper.Second {
 		s.Beat(now)
 	}
 }
