A condemned request is told by the sidecar when to come back; dead code gone

Ruled out: a mark without an end; each has one. Change: the wait is the rest of the mark's life. Before: the new test was red; after: green, and the test on real processes also asks for Retry-After. Also: a group of streams that nothing waited for, a count that nothing read, two functions of the measurement that did the same, and the reading of a page that stood twice. No check was loosened.

--- a/experimenter/internal/launcher/fault_test.go
+++ b/experimenter/internal/launcher/fault_test.go
@@ -312,6 +312,9 @@
 		if last.Whole && last.Pieces == 3 {
 			t.Fatalf("send %d was served: %+v", n, last)
 		}
+		if last.Code == string(model.CodeCondemned) && last.RetryAfter == "" {
+			t.Fatalf("send %d is not told when to come back: %+v", n, last)
+		}
 	}
 	if last.Code != string(model.CodeCondemned) {
 		t.Fatalf("last send: %+v", last)
--- a/experimenter/internal/launcher/send.go
+++ b/experimenter/internal/launcher/send.go
@@ -23,16 +23,15 @@
 	if err != nil {
 		return "", fmt.Errorf("launcher: %s: %w", url, err)
 	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
+	text, err := textOf(url, response)
 	if err != nil {
-		return "", fmt.Errorf("launcher: %s: %w", url, err)
+		return "", err
 	}
 	if response.StatusCode >= http.StatusBadRequest {
 		return "", fmt.Errorf("launcher: %s: status %d: %s", url, response.StatusCode, text)
 	}
 
-	return string(text), nil
+	return text, nil
 }
 
 // Fetch returns the text of a page.
@@ -41,6 +40,11 @@
 	if err != nil {
 		return "", fmt.Errorf("launcher: %s: %w", url, err)
 	}
+
+	return textOf(url, response)
+}
+
+func textOf(url string, response *http.Response) (string, error) {
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
 	if err != nil {
--- a/experimenter/internal/measurer/scenario.go
+++ b/experimenter/internal/measurer/scenario.go
@@ -40,21 +40,15 @@
 			if r.domain != w.deployment.domain(0) {
 				continue
 			}
-			w.after(timekeeper.Millis(faultShare*float64(w.end)), func() { w.drain(i) })
+			w.after(timekeeper.Millis(faultShare*float64(w.end)), func() { w.takeDown(i) })
 			w.after(timekeeper.Millis(returnShare*float64(w.end)), func() { w.bringBack(i) })
 		}
 	}}
 }
 
-// takeDown ends a runner with all that it runs.
+// takeDown gives a runner nothing new; what it runs is lost when it comes back as another.
 func (w *world) takeDown(member int) {
 	w.runners[member].down = true
-	w.tally.workOut += w.runners[member].admitter.Running()
-}
-
-// drain lets a runner finish what it runs but gives it nothing new.
-func (w *world) drain(member int) {
-	w.runners[member].down = true
 }
 
 // bringBack starts a runner anew: cold, with an empty cache and without memory.
--- a/experimenter/internal/measurer/tally.go
+++ b/experimenter/internal/measurer/tally.go
@@ -14,7 +14,7 @@
 	controlBytes              int
 	skews                     []float64
 	boundSeconds, boundBroken int
-	coldOver, workOut         int
+	coldOver                  int
 }
 
 // noteTurn notes whether a returning turn found its prefix.
--- a/router/internal/server/answer.go
+++ b/router/internal/server/answer.go
@@ -55,10 +55,8 @@
 // sendStream relays pieces as they come; a stream that breaks ends with an error event, never in silence.
 func (v *Server) sendStream(c fiber.Ctx, a *dispatcher.Answer, span tracer.Span) error {
 	setHead(c, a)
-	v.streams.Add(1)
 
 	return c.SendStreamWriter(func(w *bufio.Writer) {
-		defer v.streams.Done()
 		defer a.Close()
 		span.End(v.relay(w, a))
 	})
--- a/router/internal/server/server.go
+++ b/router/internal/server/server.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"strings"
-	"sync"
 	"sync/atomic"
 
 	"github.com/gofiber/fiber/v3"
@@ -33,7 +32,6 @@
 	dispatcher *dispatcher.Dispatcher
 	tracer     *tracer.Tracer
 	stopping   atomic.Bool
-	streams    sync.WaitGroup
 	done       chan struct{}
 }
 
--- a/sidecar/internal/worker/filter_guard.go
+++ b/sidecar/internal/worker/filter_guard.go
@@ -74,7 +74,7 @@
 		})
 	}
 	if verdict == quarantiner.VerdictCondemned {
-		return condemned(0)
+		return w.refuseCondemned(j)
 	}
 
 	return nil
@@ -84,7 +84,10 @@
 	return g.Start(j.fingerprint, w.clock.Now())
 }
 
-func condemned(wait timekeeper.Millis) *model.Refusal {
+func (w *Worker) refuseCondemned(j *job) *model.Refusal {
+	var wait timekeeper.Millis
+	w.follower.View(func(v follower.View) { _, wait = v.Register.Condemned(j.fingerprint, w.clock.Now()) })
+
 	return model.NewRefusal(model.CodeCondemned, condemnedNote).
 		WithOutcome(model.OutcomeUnknown).WithRetryAfter(wait).AsFinal()
 }
--- /dev/null
+++ b/sidecar/internal/worker/filter_guard_test.go
@@ -0,0 +1,34 @@
+package worker
+
+import (
+	"testing"
+
+	"cardamompulley/fleet/follower"
+	"cardamompulley/fleet/logger"
+	"cardamompulley/fleet/messenger"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/quarantiner"
+	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/fleet/tracer"
+	"cardamompulley/sidecar/internal/settings"
+)
+
+func TestCondemnedRequestIsToldWhenToComeBack(t *testing.T) {
+	clock := timekeeper.NewManual(timekeeper.Hour).Clock()
+	s := settings.NewSettings()
+	f := follower.NewFollower(s.Settings, model.RoleSidecar, nil, clock, logger.NewDiscard())
+	w, err := NewWorker(s, f, tracer.NewOff())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const fingerprint = 7
+	f.View(func(v follower.View) {
+		m := quarantiner.Mark{Fingerprint: fingerprint, Crashes: quarantiner.CondemnedCrashes, ExpiresIn: timekeeper.Minute}
+		v.Register.Learn(m, clock.Now())
+	})
+	j := w.newJob(&messenger.RunRequest{Fingerprint: fingerprint}, nil)
+	refusal := w.startGuarded(t.Context(), j)
+	if refusal == nil || !refusal.Final || refusal.RetryAfter != timekeeper.Minute {
+		t.Fatalf("refusal %+v", refusal)
+	}
+}
