The platform path, thin: a gateway that routes straight to endpoints, and the adapter to the group's platform

The router program gains a gateway: an HTTP front that passes each request byte for byte to one endpoint, controllers that follow the platform's store and trade with other gateways, and platform/, the one place that knows the platform's names.

--- /dev/null
+++ b/fleet/balancer/balancer.go
@@ -0,0 +1,300 @@
+package balancer
+
+import (
+	"cardamompulley/fleet/budgeter"
+	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/hasher"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/retrier"
+	"cardamompulley/fleet/timekeeper"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// loadFloor is the count below which no endpoint is called overloaded.
+	loadFloor = 2
+	// reportLifetime is how long the counts of another gateway are believed.
+	reportLifetime = 3 * timekeeper.Second
+)
+
+// Reason says why an endpoint was chosen.
+type Reason string
+
+// The reasons of a choice.
+const (
+	ReasonSession Reason = "session"
+	ReasonSpill   Reason = "spill"
+	ReasonLoad    Reason = "load"
+)
+
+// Terms are the bounds that a balancer keeps.
+type Terms struct {
+	// LoadMultiple is the largest allowed multiple of the mean load of a service.
+	LoadMultiple float64
+	// ColdOvershoot and ColdSlack widen what a service declares for endpoints in a cold start.
+	ColdOvershoot float64
+	ColdSlack     float64
+}
+
+// Query is what a choice depends on.
+type Query struct {
+	Service model.ServiceID
+	// Session is the shared part of the prompt that an endpoint may have cached, zero for none.
+	Session uint64
+	// Tried are the endpoints that have failed this request.
+	Tried []model.EndpointID
+}
+
+// Choice is a chosen endpoint with the figures that decided.
+type Choice struct {
+	Endpoint *cataloguer.Endpoint
+	Reason   Reason
+	Load     int
+	Mean     float64
+}
+
+// member is what a gateway knows of one endpoint beyond its entry.
+type member struct {
+	seed    uint64
+	running int
+	breaker retrier.Breaker
+}
+
+// Balancer holds the state behind the choices of one gateway.
+type Balancer struct {
+	Gateways []string
+
+	terms   Terms
+	domain  model.DomainID
+	colds   *budgeter.Colds
+	members map[model.EndpointID]*member
+	reports map[string]report
+}
+
+type report struct {
+	at      timekeeper.Millis
+	running map[model.EndpointID]int
+}
+
+// NewBalancer returns the balancer of a gateway at an address in a failure domain.
+func NewBalancer(t Terms, self string, d model.DomainID) *Balancer {
+	return &Balancer{
+		terms:   t,
+		domain:  d,
+		colds:   budgeter.NewColds(self),
+		members: map[model.EndpointID]*member{},
+		reports: map[string]report{},
+	}
+}
+
+func (b *Balancer) member(id model.EndpointID) *member {
+	m, ok := b.members[id]
+	if !ok {
+		m = &member{seed: xxhash.Sum64String(string(id))}
+		b.members[id] = m
+	}
+
+	return m
+}
+
+// Report takes the running counts of another gateway.
+func (b *Balancer) Report(gateway string, running map[model.EndpointID]int, now timekeeper.Millis) {
+	b.reports[gateway] = report{at: now, running: running}
+}
+
+// Running returns this gateway's own running counts.
+func (b *Balancer) Running() map[model.EndpointID]int {
+	running := map[model.EndpointID]int{}
+	for id, m := range b.members {
+		if m.running > 0 {
+			running[id] = m.running
+		}
+	}
+
+	return running
+}
+
+// Load returns the running requests of an endpoint over all gateways that have reported lately.
+func (b *Balancer) Load(id model.EndpointID, now timekeeper.Millis) int {
+	load := b.member(id).running
+	for _, r := range b.reports {
+		if now-r.at < reportLifetime {
+			load += r.running[id]
+		}
+	}
+
+	return load
+}
+
+// Start notes a request that is sent to an endpoint.
+func (b *Balancer) Start(id model.EndpointID, now timekeeper.Millis) {
+	m := b.member(id)
+	m.running++
+	m.breaker.Start(now)
+	b.colds.Sent(id, now)
+}
+
+// Finish notes the end of a request at an endpoint.
+func (b *Balancer) Finish(id model.EndpointID) {
+	m := b.member(id)
+	m.running = max(0, m.running-1)
+}
+
+// Succeed notes that an endpoint has answered.
+func (b *Balancer) Succeed(id model.EndpointID) {
+	b.member(id).breaker.Succeed()
+}
+
+// Fail notes that an endpoint could not be reached or fell silent.
+func (b *Balancer) Fail(id model.EndpointID, now timekeeper.Millis) {
+	b.member(id).breaker.Fail(now)
+}
+
+// Keep forgets endpoints that are neither known nor in use.
+func (b *Balancer) Keep(known func(model.EndpointID) bool) {
+	for id, m := range b.members {
+		if m.running == 0 && !known(id) {
+			delete(b.members, id)
+		}
+	}
+	b.colds.Keep(known)
+}
+
+// candidate is an endpoint that may be given the request.
+type candidate struct {
+	endpoint *cataloguer.Endpoint
+	load     int
+	score    uint64
+}
+
+// Choose returns the endpoint for a request, or a refusal of what did not run.
+func (b *Balancer) Choose(v *cataloguer.View, q Query, now timekeeper.Millis) (Choice, *model.Refusal) {
+	service := v.Configuration.Services[q.Service]
+	candidates, wait := b.candidates(v, service, q, now)
+	if len(candidates) == 0 {
+		return Choice{}, model.NewRefusal(model.CodeNoEndpoint, "no endpoint of "+string(q.Service)+" can take the request").
+			WithRetryAfter(wait)
+	}
+	if service.Engine && q.Session != 0 {
+		return b.bySession(candidates), nil
+	}
+
+	return b.byLoad(candidates), nil
+}
+
+const (
+	coldWait  = 300 * timekeeper.Millis(1)
+	emptyWait = 500 * timekeeper.Millis(1)
+)
+
+func (b *Balancer) candidates(v *cataloguer.View, s cataloguer.Service, q Query, now timekeeper.Millis) ([]candidate, timekeeper.Millis) {
+	known := v.Endpoints(q.Service)
+	candidates := make([]candidate, 0, len(known))
+	wait := emptyWait
+	for _, e := range known {
+		if !v.Open(e) || contains(q.Tried, e.ID) {
+			continue
+		}
+		m := b.member(e.ID)
+		if m.breaker.Blocked(now) {
+			continue
+		}
+		if e.ColdUntil > now && !b.colds.Room(e.ID, b.coldShare(s, e), now) {
+			wait = coldWait
+
+			continue
+		}
+		candidates = append(candidates, candidate{
+			endpoint: e,
+			load:     b.Load(e.ID, now),
+			score:    hasher.Mix(q.Session ^ m.seed),
+		})
+	}
+
+	return candidates, wait
+}
+
+func (b *Balancer) coldShare(s cataloguer.Service, e *cataloguer.Endpoint) int {
+	return b.colds.Share(e.ID, s.ColdPerSecond, b.Gateways)
+}
+
+func contains(ids []model.EndpointID, id model.EndpointID) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+
+	return false
+}
+
+func mean(cs []candidate) float64 {
+	total := 0
+	for _, c := range cs {
+		total += c.load
+	}
+
+	return float64(total) / float64(len(cs))
+}
+
+// bySession takes the first endpoint in the session's own order whose load is within the bound.
+func (b *Balancer) bySession(cs []candidate) Choice {
+	average := mean(cs)
+	limit := int(b.terms.LoadMultiple*average) + loadFloor
+	best := -1
+	head := 0
+	for i := range cs {
+		if cs[i].score > cs[head].score {
+			head = i
+		}
+		if cs[i].load >= limit {
+			continue
+		}
+		if best < 0 || cs[i].score > cs[best].score {
+			best = i
+		}
+	}
+	if best < 0 {
+		return b.byLoad(cs)
+	}
+	reason := ReasonSession
+	if best != head {
+		reason = ReasonSpill
+	}
+
+	return Choice{Endpoint: cs[best].endpoint, Reason: reason, Load: cs[best].load, Mean: average}
+}
+
+// byLoad takes the least loaded endpoint, of the own failure domain where that costs no slot.
+func (b *Balancer) byLoad(cs []candidate) Choice {
+	best := 0
+	for i := range cs {
+		if b.before(&cs[i], &cs[best]) {
+			best = i
+		}
+	}
+
+	return Choice{Endpoint: cs[best].endpoint, Reason: ReasonLoad, Load: cs[best].load, Mean: mean(cs)}
+}
+
+func (b *Balancer) before(x, y *candidate) bool {
+	p, q := b.pressure(x), b.pressure(y)
+	if p != q {
+		return p < q
+	}
+
+	return x.score < y.score
+}
+
+// remoteShare of the slots may be taken at a near endpoint before a remote one is preferred.
+const remoteShare = 0.5
+
+func (b *Balancer) pressure(c *candidate) float64 {
+	p := float64(c.load) / float64(max(c.endpoint.Slots, 1))
+	if c.endpoint.Domain != b.domain {
+		p += remoteShare
+	}
+
+	return p
+}
--- /dev/null
+++ b/fleet/budgeter/doc.go
@@ -0,0 +1,2 @@
+// Package budgeter keeps sums over all gateways by shares that each spends without asking: retries, and cold starts.
+package budgeter
--- /dev/null
+++ b/fleet/budgeter/window.go
@@ -0,0 +1,41 @@
+package budgeter
+
+import "cardamompulley/fleet/timekeeper"
+
+// slices is the number of parts of a window; a part is forgotten as a whole.
+const slices = 20
+
+// window counts events of the last span.
+type window struct {
+	part   timekeeper.Millis
+	counts [slices]int
+	newest timekeeper.Millis
+	total  int
+}
+
+func newWindow(span timekeeper.Millis) *window {
+	return &window{part: max(span/(slices-1), 1)}
+}
+
+func (w *window) turn(now timekeeper.Millis) {
+	at := now / w.part
+	for steps := 0; w.newest < at && steps < slices; steps++ {
+		w.newest++
+		i := w.newest % slices
+		w.total -= w.counts[i]
+		w.counts[i] = 0
+	}
+	w.newest = max(w.newest, at)
+}
+
+func (w *window) add(now timekeeper.Millis) {
+	w.turn(now)
+	w.counts[w.newest%slices]++
+	w.total++
+}
+
+func (w *window) count(now timekeeper.Millis) int {
+	w.turn(now)
+
+	return w.total
+}
--- a/fleet/logger/logger.go
+++ b/fleet/logger/logger.go
@@ -61,3 +61,8 @@
 func Err(err error) Field {
 	return Field{name: "error", value: err}
 }
+
+// Bool returns a yes-or-no field.
+func Bool(name string, value bool) Field {
+	return Field{name: name, value: value}
+}
--- a/fleet/model/refusal.go
+++ b/fleet/model/refusal.go
@@ -35,6 +35,7 @@
 	CodeNotHome            Code = "not-home"
 	CodePredecessorUnknown Code = "previous-home-unreachable"
 	CodeDeadline           Code = "deadline-too-short"
+	CodeRequestTimeout     Code = "request-timeout"
 	CodeOverloaded         Code = "overloaded"
 	CodeAboveBound         Code = "above-load-bound"
 	CodeCold               Code = "endpoint-cold"
--- a/fleet/runner/runner.go
+++ b/fleet/runner/runner.go
@@ -31,28 +31,35 @@
 
 // Parse reads the command line and the settings file; done is true when there is nothing more to do.
 func Parse(program string, arguments []string, options []loader.Option, out, errs io.Writer) (code int, done bool) {
+	_, code, done = ParsePath(program, arguments, options, out, errs)
+
+	return code, done
+}
+
+// ParsePath is Parse that also returns the path of the settings file.
+func ParsePath(program string, arguments []string, options []loader.Option, out, errs io.Writer) (file string, code int, done bool) {
 	flags := flag.NewFlagSet(program, flag.ContinueOnError)
 	flags.SetOutput(errs)
 	path := flags.String("settings", "", "settings file, JSON with comments")
 	check := flags.Bool("check-settings", false, "check the settings and exit")
 	if err := flags.Parse(arguments); err != nil {
-		return ExitSettings, true
+		return "", ExitSettings, true
 	}
 	if *path == "" || flags.NArg() > 0 {
 		fmt.Fprintf(errs, "usage: %s --settings FILE [--check-settings]\n", program)
 
-		return ExitSettings, true
+		return "", ExitSettings, true
 	}
 	if err := loader.LoadFile(*path, options); err != nil {
 		fmt.Fprintln(errs, err)
 
-		return ExitSettings, true
+		return "", ExitSettings, true
 	}
 	if *check {
 		fmt.Fprintf(out, "%s: settings are good\n", *path)
 	}
 
-	return ExitOK, *check
+	return *path, ExitOK, *check
 }
 
 // Signals returns a context that ends at the first SIGTERM or SIGINT.
--- a/router/internal/cli/cli.go
+++ b/router/internal/cli/cli.go
@@ -18,8 +18,14 @@
 	"cardamompulley/router/internal/settings"
 )
 
+// commandGateway selects the front that routes straight to endpoints.
+const commandGateway = "gateway"
+
 // Run runs the router until it is told to stop and returns its exit code.
 func Run(arguments []string, out, errs io.Writer) int {
+	if len(arguments) > 0 && arguments[0] == commandGateway {
+		return runGateway(arguments[1:], out, errs)
+	}
 	s := settings.NewSettings()
 	code, done := runner.Parse("router", arguments, settings.Options(&s), out, errs)
 	if done {
--- /dev/null
+++ b/router/internal/connector/doc.go
@@ -0,0 +1,2 @@
+// Package connector keeps connections to endpoints and sends single requests over them.
+package connector
--- /dev/null
+++ b/router/internal/forwarder/attempt.go
@@ -0,0 +1,213 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+
+	"cardamompulley/fleet/model"
+	"cardamompulley/platform"
+	"cardamompulley/router/internal/connector"
+)
+
+// wholeBytes is the size up to which an answer is read to its end before it is passed on.
+const wholeBytes = 64 << 10
+
+// Errors of one attempt.
+var (
+	errCrossed    = errors.New("forwarder: the answer belongs to another request")
+	errUnsigned   = errors.New("forwarder: the endpoint does not vouch for its answer")
+	errNotRun     = errors.New("forwarder: the endpoint did not run the request")
+	errOwnFailure = errors.New("forwarder: the endpoint failed the request")
+	errBroken     = errors.New("forwarder: the stream broke off")
+)
+
+// failure is an attempt that did not serve the request.
+type failure struct {
+	err error
+	// ran is true when the endpoint may have run the request.
+	ran bool
+	// final is true when nothing more can be done for the caller.
+	final bool
+	// reply is the endpoint's own failure, to be passed on unchanged if nothing better comes.
+	reply *reply
+}
+
+// reply is an endpoint's answer that was read to its end.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempt sends the request to the chosen endpoint and delivers its answer, or says why not.
+func (j *job) attempt() *failure {
+	e := j.choice.Endpoint
+	conn, err := j.f.pool.Get(j.ctx, e.ID, e.Address)
+	if err != nil {
+		if j.ctx.Err() == nil {
+			j.f.noteHealth(e.ID, false)
+		}
+
+		return &failure{err: err}
+	}
+	stop := context.AfterFunc(j.ctx, conn.Close)
+	defer stop()
+	j.arrivals++
+	response, err := conn.Send(j.request())
+	if err != nil {
+		return j.lose(conn, err)
+	}
+	reply := platform.DecodeReply(response.StatusCode, response.Header)
+	if reply.Attempt != "" && reply.Attempt != j.facts.Attempt {
+		return j.lose(conn, errCrossed)
+	}
+	if reply.NotRun {
+		j.settle(conn, response, nil)
+
+		return &failure{err: fmt.Errorf("%w: status %d", errNotRun, response.StatusCode)}
+	}
+	if response.StatusCode < 300 && (!reply.Signed || reply.Attempt == "" || response.Header.Get("Content-Encoding") != "") {
+		return j.lose(conn, errUnsigned)
+	}
+
+	return j.deliver(conn, response)
+}
+
+// lose ends a connection whose request may have run.
+func (j *job) lose(conn *connector.Conn, err error) *failure {
+	conn.Close()
+	j.sent++
+	if j.ctx.Err() == nil && !conn.Reused {
+		j.f.noteHealth(j.choice.Endpoint.ID, false)
+	}
+
+	return &failure{err: err, ran: true}
+}
+
+// settle reads a short answer to its end and keeps the connection if it can.
+func (j *job) settle(conn *connector.Conn, response *http.Response, body *[]byte) bool {
+	read, err := io.ReadAll(io.LimitReader(response.Body, wholeBytes+1))
+	if body != nil {
+		*body = read
+	}
+	if err != nil || len(read) > wholeBytes || !conn.Reusable(response) {
+		conn.Close()
+
+		return err == nil && len(read) <= wholeBytes
+	}
+	j.f.pool.Put(conn)
+
+	return true
+}
+
+func (j *job) deliver(conn *connector.Conn, response *http.Response) *failure {
+	kind, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if kind == "text/event-stream" && response.StatusCode < 300 {
+		return j.deliverStream(conn, response)
+	}
+	if response.ContentLength > wholeBytes {
+		return j.deliverLong(conn, response)
+	}
+	whole := &reply{status: response.StatusCode, header: outgoing(response.Header)}
+	if !j.settle(conn, response, &whole.body) {
+		return j.lose(conn, errBroken)
+	}
+	j.sent++
+	j.f.noteHealth(j.choice.Endpoint.ID, true)
+	if whole.status >= http.StatusInternalServerError {
+		return &failure{err: fmt.Errorf("%w: status %d", errOwnFailure, whole.status), ran: true, reply: whole}
+	}
+	j.pass(whole)
+
+	return nil
+}
+
+// pass writes an endpoint's answer unchanged.
+func (j *job) pass(a *reply) {
+	j.writeHead(a.status, a.header, len(a.body))
+	if j.r.Method != http.MethodHead {
+		if _, err := j.w.Write(a.body); err != nil {
+			j.leave()
+
+			return
+		}
+	}
+	j.logServed(a.status)
+}
+
+func (j *job) writeHead(status int, header http.Header, length int) {
+	h := j.w.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	if _, typed := h["Content-Type"]; !typed {
+		h["Content-Type"] = nil
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.Itoa(length))
+	}
+	j.w.WriteHeader(status)
+}
+
+// deliverLong passes on an answer that is too long to be held.
+func (j *job) deliverLong(conn *connector.Conn, response *http.Response) *failure {
+	j.sent++
+	j.writeHead(response.StatusCode, outgoing(response.Header), int(response.ContentLength))
+	if _, err := io.Copy(j.w, response.Body); err != nil {
+		conn.Close()
+		j.abort(err)
+	}
+	if conn.Reusable(response) {
+		j.f.pool.Put(conn)
+	} else {
+		conn.Close()
+	}
+	j.f.noteHealth(j.choice.Endpoint.ID, true)
+	j.logServed(response.StatusCode)
+
+	return nil
+}
+
+// giveUp ends the request with the best answer that is left.
+func (j *job) giveUp(last *failure, refusal *model.Refusal) {
+	if j.r.Context().Err() != nil {
+		j.leave()
+	}
+	if j.stream.started {
+		j.abort(last.err)
+	}
+	if last != nil && last.reply != nil && promisesNothing(last.reply.status) {
+		j.pass(last.reply)
+
+		return
+	}
+	j.refuse(j.outcome(last, refusal))
+}
+
+func promisesNothing(status int) bool {
+	return status != http.StatusServiceUnavailable
+}
+
+func (j *job) outcome(last *failure, refusal *model.Refusal) *model.Refusal {
+	if refusal == nil {
+		refusal = model.NewRefusal(model.CodeEndpointFailed, "the endpoint did not serve the request").
+			WithRetryAfter(retryWait)
+	}
+	if j.left() <= 0 {
+		refusal.Code = model.CodeDeadline
+		refusal.Detail = "the time for the request is over"
+	}
+	if j.sent > 0 {
+		refusal.Outcome = model.OutcomeUnknown
+	}
+	if last != nil {
+		refusal.Detail += ": " + last.err.Error()
+	}
+
+	return refusal
+}
--- /dev/null
+++ b/router/internal/forwarder/forwarder.go
@@ -0,0 +1,118 @@
+package forwarder
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamompulley/fleet/balancer"
+	"cardamompulley/fleet/budgeter"
+	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/logger"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/router/internal/connector"
+)
+
+var (
+	served       = metrics.NewCounter("gateway_requests_served_total")
+	refused      = metrics.NewCounter("gateway_requests_refused_total")
+	resent       = metrics.NewCounter("gateway_requests_resent_total")
+	resumed      = metrics.NewCounter("gateway_streams_resumed_total")
+	cut          = metrics.NewCounter("gateway_streams_cut_total")
+	gone         = metrics.NewCounter("gateway_callers_gone_total")
+	firstLatency = metrics.NewHistogram("gateway_first_byte_seconds")
+	totalLatency = metrics.NewHistogram("gateway_request_seconds")
+)
+
+// Forwarder serves callers from the state that the controllers of a gateway keep.
+type Forwarder struct {
+	// View returns what the gateway believes now.
+	View func() *cataloguer.View
+	// Closing tells whether kept connections are to be closed after their answers.
+	Closing func() bool
+
+	clock timekeeper.Clock
+	log   logger.Logger
+	pool  *connector.Pool
+
+	mu       sync.Mutex
+	balancer *balancer.Balancer
+	retries  *budgeter.Retries
+}
+
+// NewForwarder returns a forwarder that sends over the connections of a pool.
+func NewForwarder(b *balancer.Balancer, r *budgeter.Retries, p *connector.Pool, clock timekeeper.Clock, log logger.Logger) *Forwarder {
+	return &Forwarder{
+		View:     func() *cataloguer.View { return nil },
+		Closing:  func() bool { return false },
+		clock:    clock,
+		log:      log,
+		pool:     p,
+		balancer: b,
+		retries:  r,
+	}
+}
+
+// Update changes the state behind the decisions under their lock.
+func (f *Forwarder) Update(change func(*balancer.Balancer, *budgeter.Retries)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f.balancer, f.retries)
+}
+
+// ServeHTTP serves one request of a caller.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	j := newJob(f, w, r)
+	if f.Closing() {
+		w.Header().Set("Connection", "close")
+	}
+	if refusal := j.open(); refusal != nil {
+		j.refuse(refusal)
+
+		return
+	}
+	j.run()
+}
+
+func (f *Forwarder) choose(v *cataloguer.View, q balancer.Query) (balancer.Choice, *model.Refusal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	c, refusal := f.balancer.Choose(v, q, now)
+	if refusal == nil {
+		f.balancer.Start(c.Endpoint.ID, now)
+	}
+
+	return c, refusal
+}
+
+func (f *Forwarder) finish(id model.EndpointID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.Finish(id)
+}
+
+func (f *Forwarder) noteHealth(id model.EndpointID, good bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if good {
+		f.balancer.Succeed(id)
+	} else {
+		f.balancer.Fail(id, f.clock.Now())
+	}
+}
+
+func (f *Forwarder) earn(id model.ServiceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retries.Earn(id, f.clock.Now())
+}
+
+func (f *Forwarder) spend(id model.ServiceID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.retries.Spend(id, len(f.balancer.Gateways), f.clock.Now())
+}
--- /dev/null
+++ b/router/internal/forwarder/job.go
@@ -0,0 +1,239 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cardamompulley/fleet/balancer"
+	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/hasher"
+	"cardamompulley/fleet/logger"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/platform"
+	"cardamompulley/router/internal/connector"
+)
+
+const (
+	defaultTimeout = timekeeper.Minute
+	startWait      = timekeeper.Second
+)
+
+// job is one request of a caller from its arrival to its end.
+type job struct {
+	f *Forwarder
+	w http.ResponseWriter
+	r *http.Request
+
+	view    *cataloguer.View
+	facts   model.Facts
+	route   *cataloguer.Route
+	service model.ServiceID
+	account cataloguer.Account
+	header  http.Header
+	body    []byte
+	ctx     context.Context
+	cancel  context.CancelFunc
+	arrived timekeeper.Millis
+	limit   timekeeper.Millis
+
+	// sent is the number of endpoints that may have run the request.
+	sent int
+	// arrivals is the number of endpoints that the request has reached.
+	arrivals int
+	tried    []model.EndpointID
+	choice   balancer.Choice
+	stream   stream
+}
+
+func newJob(f *Forwarder, w http.ResponseWriter, r *http.Request) *job {
+	return &job{f: f, w: w, r: r, arrived: f.clock.Now(), cancel: func() {}}
+}
+
+// open finds what the request is and who sent it; it refuses what must not go on.
+func (j *job) open() *model.Refusal {
+	j.view = j.f.View()
+	if j.view == nil || j.view.Configuration == nil {
+		return model.NewRefusal(model.CodeNotReady, "no configuration is known yet").WithRetryAfter(startWait)
+	}
+	facts, err := platform.DecodeFacts(j.r.Header)
+	j.facts = facts
+	if err != nil {
+		return model.NewRefusal(model.CodeBadRequest, err.Error())
+	}
+	j.route = j.view.Configuration.Route(j.r.Host, j.r.URL.Path)
+	if j.route == nil {
+		return model.NewRefusal(model.CodeUnknownService, "no route has this host and path")
+	}
+	account, ok := j.view.Configuration.Account(j.route, facts.Key)
+	if !ok {
+		return model.NewRefusal(model.CodeUnauthorized, "no client account has this key")
+	}
+	j.account = account
+	j.setLimit()
+	j.service = j.route.Pick(j.point())
+	j.header = outgoing(j.r.Header)
+
+	return j.readBody()
+}
+
+// setLimit ends the request at the caller's deadline or the route's timeout, whichever is first.
+func (j *job) setLimit() {
+	span := j.route.Timeout
+	if span <= 0 {
+		span = defaultTimeout
+	}
+	if j.facts.Left > 0 {
+		span = min(span, j.facts.Left)
+	}
+	j.limit = j.arrived + span
+	j.ctx, j.cancel = context.WithTimeout(j.r.Context(), (j.limit - j.f.clock.Now()).Duration())
+}
+
+// point spreads requests over the services of a route; requests of one session stay together.
+func (j *job) point() float64 {
+	h := j.facts.Session()
+	if h == 0 {
+		h = xxhash.Sum64String(string(j.facts.Attempt))
+	}
+
+	return float64(hasher.Mix(h^xxhash.Sum64String(j.route.Name))>>11) / (1 << 53)
+}
+
+func (j *job) readBody() *model.Refusal {
+	if j.r.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(j.w)
+	_ = control.SetReadDeadline(time.Now().Add(j.left().Duration()))
+	reader := j.r.Body
+	if most := j.view.Configuration.Limits.BodyBytes; most > 0 {
+		if j.r.ContentLength > most {
+			return model.NewRefusal(model.CodeBodyTooLarge, "the body is over the limit")
+		}
+		reader = http.MaxBytesReader(j.w, j.r.Body, most)
+	}
+	body, err := j.readAll(reader)
+	j.body = body
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+
+		return nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return model.NewRefusal(model.CodeBodyTooLarge, "the body is over the limit")
+	}
+	if j.left() <= 0 {
+		return model.NewRefusal(model.CodeRequestTimeout, "the body did not arrive in time").WithRetryAfter(startWait)
+	}
+
+	return model.NewRefusal(model.CodeBadRequest, "the body cannot be read: "+err.Error())
+}
+
+func (j *job) readAll(r io.Reader) ([]byte, error) {
+	if j.r.ContentLength < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, j.r.ContentLength)
+	_, err := io.ReadFull(r, body)
+	if err != nil {
+		return nil, err
+	}
+	// The server notices a caller that leaves only after it has seen the end of the body.
+	if _, err := r.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+
+	return body, nil
+}
+
+func (j *job) left() timekeeper.Millis {
+	return j.limit - j.f.clock.Now()
+}
+
+// run sends the request until an endpoint has served it or nothing more may be tried.
+func (j *job) run() {
+	defer j.cancel()
+	j.f.earn(j.service)
+	var last *failure
+	for {
+		choice, refusal := j.f.choose(j.view, j.query())
+		if refusal != nil {
+			j.giveUp(last, refusal)
+
+			return
+		}
+		j.choice = choice
+		fault := j.try()
+		if fault == nil {
+			return
+		}
+		j.logAttempt(fault)
+		last = fault
+		if !j.goOn(fault) {
+			j.giveUp(fault, nil)
+
+			return
+		}
+		j.view = j.f.View()
+	}
+}
+
+// try makes one attempt and gives its place at the endpoint back, also when the caller's connection is aborted.
+func (j *job) try() *failure {
+	defer j.f.finish(j.choice.Endpoint.ID)
+
+	return j.attempt()
+}
+
+func (j *job) query() balancer.Query {
+	return balancer.Query{Service: j.service, Session: j.facts.Session(), Tried: j.tried}
+}
+
+// goOn decides whether the request may be sent to another endpoint.
+func (j *job) goOn(fault *failure) bool {
+	j.tried = append(j.tried, j.choice.Endpoint.ID)
+	if fault.final || j.ctx.Err() != nil || j.left() <= 0 {
+		return false
+	}
+	if fault.ran && (!j.route.Repeatable() || j.sent >= j.route.MaxAttempts) {
+		return false
+	}
+	if j.arrivals > 0 && !j.f.spend(j.service) {
+		j.f.log.Write(logger.EventRetryBudgetEmpty, j.fields()...)
+
+		return false
+	}
+	resent.Inc()
+
+	return true
+}
+
+func (j *job) request() *connector.Request {
+	header := j.header.Clone()
+	last := j.facts.LastEvent
+	if j.stream.last != "" {
+		last = j.stream.last
+	}
+	platform.EncodeOrder(header, platform.Order{
+		Target:    j.choice.Endpoint.ID,
+		Account:   j.account.ID,
+		Left:      max(j.left(), 1),
+		LastEvent: last,
+		Urgency:   -1,
+	})
+
+	return &connector.Request{
+		Method: j.r.Method,
+		Target: j.r.RequestURI,
+		Host:   j.r.Host,
+		Header: header,
+		Body:   j.body,
+	}
+}
--- /dev/null
+++ b/router/internal/gateway/gateway.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sourcegraph/conc"
+
+	"cardamompulley/fleet/balancer"
+	"cardamompulley/fleet/budgeter"
+	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/logger"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/replicator"
+	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/platform"
+	"cardamompulley/router/internal/connector"
+	"cardamompulley/router/internal/forwarder"
+)
+
+const (
+	dialTimeout = 600 * timekeeper.Millis(1)
+	// lapseBeats is how many heartbeats of silence make a store's deletion doubtful.
+	lapseBeats    = 2
+	sweepInterval = 500 * timekeeper.Millis(1)
+)
+
+// Gateway is one process that routes straight to endpoints.
+type Gateway struct {
+	settings Settings
+	clock    timekeeper.Clock
+	log      logger.Logger
+	store    *platform.Store
+	pool     *connector.Pool
+	forward  *forwarder.Forwarder
+	view     atomic.Pointer[cataloguer.View]
+	stopping atomic.Bool
+	peers    *peers
+
+	mu        sync.Mutex
+	operator  *replicator.Replica
+	endpoints *replicator.Replica
+	listing   *listing
+}
+
+// NewGateway returns a gateway that knows nothing yet.
+func NewGateway(s Settings, clock timekeeper.Clock, log logger.Logger) *Gateway {
+	pool := connector.NewPool(connector.Terms{DialTimeout: dialTimeout, Silence: s.Contact / 2}, clock)
+	b := balancer.NewBalancer(balancer.Terms{
+		LoadMultiple:  s.LoadMultiple,
+		ColdOvershoot: s.ColdOvershoot,
+		ColdSlack:     s.ColdSlack,
+	}, s.PeerListen, model.DomainID(s.Domain))
+	r := budgeter.NewRetries(budgeter.Terms{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow})
+	g := &Gateway{
+		settings:  s,
+		clock:     clock,
+		log:       log,
+		store:     platform.NewStore(s.Store),
+		pool:      pool,
+		forward:   forwarder.NewForwarder(b, r, pool, clock, log),
+		operator:  replicator.NewReplica(0),
+		endpoints: replicator.NewReplica(lapseBeats * s.Heartbeat),
+		listing:   newListing(),
+	}
+	g.peers = newPeers(g)
+	g.forward.View = g.view.Load
+	g.forward.Closing = g.stopping.Load
+
+	return g
+}
+
+// Ready tells whether callers may come.
+func (g *Gateway) Ready() bool {
+	if g.stopping.Load() {
+		return false
+	}
+	v := g.view.Load()
+
+	return v != nil && v.Configuration != nil
+}
+
+// Run keeps the state until the context ends.
+func (g *Gateway) Run(ctx context.Context) {
+	var w conc.WaitGroup
+	w.Go(func() { g.follow(ctx, platform.RangeOperator, g.operator) })
+	w.Go(func() { g.follow(ctx, platform.RangeEndpoints, g.endpoints) })
+	w.Go(func() { g.peers.run(ctx) })
+	w.Go(func() { g.sweep(ctx) })
+	w.Wait()
+}
+
+// sweep forgets what is no longer needed.
+func (g *Gateway) sweep(ctx context.Context) {
+	for pause(ctx, sweepInterval) {
+		g.mu.Lock()
+		if g.endpoints.Expire(g.clock.Now()) {
+			g.rebuild()
+		}
+		g.mu.Unlock()
+		v := g.view.Load()
+		if v == nil {
+			continue
+		}
+		known := func(id model.EndpointID) bool { return v.Endpoint(id) != nil }
+		g.pool.Sweep(known)
+		g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) { b.Keep(known) })
+	}
+}
--- /dev/null
+++ b/router/internal/gateway/peers.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+
+	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
+
+	"cardamompulley/fleet/balancer"
+	"cardamompulley/fleet/budgeter"
+	"cardamompulley/fleet/logger"
+	"cardamompulley/fleet/messenger"
+	"cardamompulley/fleet/messenger/messengerconnect"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/replicator"
+	"cardamompulley/fleet/timekeeper"
+)
+
+const (
+	tradeInterval = 250 * timekeeper.Millis(1)
+	tradeTimeout  = 600 * timekeeper.Millis(1)
+	// tradesAtOnce is the number of gateways asked in one interval.
+	tradesAtOnce = 3
+)
+
+// peers knows the other gateways and trades with them; a gateway once known counts for shares as long as this process lives.
+type peers struct {
+	g      *Gateway
+	client *http.Client
+
+	mu      sync.Mutex
+	known   map[string]*peer
+	order   []string
+	next    int
+	clients map[string]messengerconnect.GatewayClient
+}
+
+type peer struct {
+	lost bool
+	// busy is true while a trade with the gateway is under way.
+	busy bool
+}
+
+func newPeers(g *Gateway) *peers {
+	dialer := &net.Dialer{Timeout: tradeTimeout.Duration()}
+	p := &peers{
+		g:       g,
+		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}},
+		known:   map[string]*peer{},
+		clients: map[string]messengerconnect.GatewayClient{},
+	}
+	p.meet(append([]string{g.settings.PeerListen}, g.settings.Seeds...))
+
+	return p
+}
+
+// handler serves the trades of other gateways.
+func (p *peers) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(messengerconnect.NewGatewayHandler(p, connect.WithCompression("gzip", nil, nil)))
+
+	return mux
+}
+
+// meet learns the addresses of gateways.
+func (p *peers) meet(addresses []string) {
+	p.mu.Lock()
+	grown := false
+	for _, a := range addresses {
+		if _, ok := p.known[a]; ok || a == "" {
+			continue
+		}
+		p.known[a] = &peer{}
+		grown = true
+		if a != p.g.settings.PeerListen {
+			p.order = append(p.order, a)
+		}
+	}
+	all := p.addresses()
+	p.mu.Unlock()
+	if grown {
+		p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) { b.Gateways = all })
+	}
+}
+
+func (p *peers) addresses() []string {
+	all := append([]string{p.g.settings.PeerListen}, p.order...)
+	slices.Sort(all)
+
+	return all
+}
+
+func (p *peers) run(ctx context.Context) {
+	var w conc.WaitGroup
+	defer w.Wait()
+	for pause(ctx, tradeInterval) {
+		for _, address := range p.turn() {
+			w.Go(func() { p.trade(ctx, address) })
+		}
+	}
+}
+
+// turn returns the gateways to ask next, each in its turn.
+func (p *peers) turn() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var chosen []string
+	for range min(tradesAtOnce, len(p.order)) {
+		address := p.order[p.next%len(p.order)]
+		p.next++
+		if k := p.known[address]; !k.busy {
+			k.busy = true
+			chosen = append(chosen, address)
+		}
+	}
+
+	return chosen
+}
+
+func (p *peers) trade(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, tradeTimeout.Duration())
+	defer cancel()
+	response, err := p.clientOf(address).Trade(ctx, p.request())
+	p.note(address, err)
+	if err != nil {
+		return
+	}
+	p.learn(response.News)
+	p.takeCopy(p.g.operator, "operator", response.Operator)
+	p.takeCopy(p.g.endpoints, "endpoints", response.Endpoints)
+}
+
+func (p *peers) clientOf(address string) messengerconnect.GatewayClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.clients[address]
+	if !ok {
+		c = messengerconnect.NewGatewayClient(p.client, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
+		p.clients[address] = c
+	}
+
+	return c
+}
+
+// note logs when a gateway is lost or regained.
+func (p *peers) note(address string, err error) {
+	p.mu.Lock()
+	k := p.known[address]
+	changed := k.lost != (err != nil)
+	k.lost = err != nil
+	k.busy = false
+	p.mu.Unlock()
+	if !changed {
+		return
+	}
+	if err != nil {
+		p.g.log.Write(logger.EventGatewayLost, logger.String("gateway", address), logger.Err(err))
+	} else {
+		p.g.log.Write(logger.EventGatewayRegained, logger.String("gateway", address))
+	}
+}
+
+func (p *peers) request() *messenger.TradeRequest {
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+
+	return &messenger.TradeRequest{
+		News:      p.news(),
+		Operator:  stateOf(p.g.operator),
+		Endpoints: stateOf(p.g.endpoints),
+	}
+}
+
+func stateOf(r *replicator.Replica) *messenger.RangeState {
+	return &messenger.RangeState{AsOf: r.AsOf(), Content: r.Content(), Synced: r.Synced()}
+}
+
+func (p *peers) news() *messenger.GatewayNews {
+	p.mu.Lock()
+	news := &messenger.GatewayNews{Address: p.g.settings.PeerListen, Gateways: p.addresses()}
+	p.mu.Unlock()
+	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
+		for id, n := range b.Running() {
+			news.Uses = append(news.Uses, &messenger.EndpointUse{Endpoint: string(id), Running: uint32(n)})
+		}
+	})
+
+	return news
+}
+
+// learn takes what another gateway says of itself.
+func (p *peers) learn(news *messenger.GatewayNews) {
+	if news == nil || news.Address == p.g.settings.PeerListen {
+		return
+	}
+	p.meet(append(news.Gateways, news.Address))
+	running := make(map[model.EndpointID]int, len(news.Uses))
+	for _, u := range news.Uses {
+		running[model.EndpointID(u.Endpoint)] = int(u.Running)
+	}
+	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
+		b.Report(news.Address, running, p.g.clock.Now())
+	})
+}
+
+// Trade answers another gateway.
+func (p *peers) Trade(_ context.Context, r *messenger.TradeRequest) (*messenger.TradeResponse, error) {
+	p.learn(r.News)
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+
+	return &messenger.TradeResponse{
+		News:      p.news(),
+		Operator:  copyFor(r.Operator, p.g.operator),
+		Endpoints: copyFor(r.Endpoints, p.g.endpoints),
+	}, nil
+}
+
+// copyFor returns the whole range if it holds something that the other side lacks.
+func copyFor(theirs *messenger.RangeState, r *replicator.Replica) *messenger.RangeCopy {
+	if !r.Synced() {
+		return nil
+	}
+	if theirs.GetSynced() && (r.AsOf() <= theirs.GetAsOf() || r.Content() <= theirs.GetContent()) {
+		return nil
+	}
+	c := &messenger.RangeCopy{AsOf: r.AsOf()}
+	for _, item := range r.Items() {
+		c.Items = append(c.Items, &messenger.StoredItem{Key: item.Key, Value: item.Value, Revision: item.Revision})
+	}
+
+	return c
+}
+
+func (p *peers) takeCopy(r *replicator.Replica, name string, c *messenger.RangeCopy) {
+	if c == nil {
+		return
+	}
+	items := make([]replicator.Item, 0, len(c.Items))
+	for _, item := range c.Items {
+		items = append(items, replicator.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
+	}
+	p.g.take("peer "+name, r, func(now timekeeper.Millis) bool { return r.Replace(items, c.AsOf, now) })
+}
