Deleted endpoints stay deleted; the load bound counts endpoints that take no new work

Change: events up to the copy's revision are skipped, doubted items are not copied, a peer's contact with the store ends the doubt; the mean counts all listed endpoints.

--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -171,16 +171,27 @@
 // Choose returns the endpoint for a request, or a refusal of what did not run.
 func (b *Balancer) Choose(v *cataloguer.View, q Query, now timekeeper.Millis) (Choice, *model.Refusal) {
 	service := v.Configuration.Services[q.Service]
-	candidates, wait := b.candidates(v, service, q, now)
+	known := v.Endpoints(q.Service)
+	candidates, wait := b.candidates(v, known, service, q, now)
 	if len(candidates) == 0 {
 		return Choice{}, model.NewRefusal(model.CodeNoEndpoint, "no endpoint of "+string(q.Service)+" can take the request").
 			WithRetryAfter(wait)
 	}
 	if service.Engine && q.Session != 0 {
-		return b.bySession(candidates), nil
+		return b.bySession(candidates, b.meanLoad(known, now)), nil
+	}
+
+	return b.byLoad(candidates, b.meanLoad(known, now)), nil
+}
+
+// meanLoad counts endpoints that take no new work too, as the operators' bound does.
+func (b *Balancer) meanLoad(known []*cataloguer.Endpoint, now timekeeper.Millis) float64 {
+	total := 0
+	for _, e := range known {
+		total += b.Load(e.ID, now)
 	}
 
-	return b.byLoad(candidates), nil
+	return float64(total) / float64(max(len(known), 1))
 }
 
 const (
@@ -188,8 +199,7 @@
 	emptyWait = 500 * timekeeper.Millis(1)
 )
 
-func (b *Balancer) candidates(v *cataloguer.View, s cataloguer.Service, q Query, now timekeeper.Millis) ([]candidate, timekeeper.Millis) {
-	known := v.Endpoints(q.Service)
+func (b *Balancer) candidates(v *cataloguer.View, known []*cataloguer.Endpoint, s cataloguer.Service, q Query, now timekeeper.Millis) ([]candidate, timekeeper.Millis) {
 	candidates := make([]candidate, 0, len(known))
 	wait := emptyWait
 	for _, e := range known {
@@ -229,18 +239,8 @@
 	return false
 }
 
-func mean(cs []candidate) float64 {
-	total := 0
-	for _, c := range cs {
-		total += c.load
-	}
-
-	return float64(total) / float64(len(cs))
-}
-
 // bySession takes the first endpoint in the session's own order whose load is within the bound.
-func (b *Balancer) bySession(cs []candidate) Choice {
-	average := mean(cs)
+func (b *Balancer) bySession(cs []candidate, average float64) Choice {
 	limit := int(b.terms.LoadMultiple*average) + loadFloor
 	best := -1
 	head := 0
@@ -256,7 +256,7 @@
 		}
 	}
 	if best < 0 {
-		return b.byLoad(cs)
+		return b.byLoad(cs, average)
 	}
 	reason := ReasonSession
 	if best != head {
@@ -267,7 +267,7 @@
 }
 
 // byLoad takes the least loaded endpoint, of the own failure domain where that costs no slot.
-func (b *Balancer) byLoad(cs []candidate) Choice {
+func (b *Balancer) byLoad(cs []candidate, average float64) Choice {
 	best := 0
 	for i := range cs {
 		if b.before(&cs[i], &cs[best]) {
@@ -275,7 +275,7 @@
 		}
 	}
 
-	return Choice{Endpoint: cs[best].endpoint, Reason: ReasonLoad, Load: cs[best].load, Mean: mean(cs)}
+	return Choice{Endpoint: cs[best].endpoint, Reason: ReasonLoad, Load: cs[best].load, Mean: average}
 }
 
 func (b *Balancer) before(x, y *candidate) bool {
--- /dev/null
+++ b/fleet/balancer/balancer_test.go
@@ -0,0 +1,79 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+
+	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+)
+
+const testService = model.ServiceID("engine")
+
+// world is a service of engines over some failure domains.
+func world(domains, each int, out ...model.DomainID) *cataloguer.View {
+	service := cataloguer.Service{ID: testService, Engine: true, ColdPerSecond: 12}
+	c := cataloguer.NewConfiguration(1, cataloguer.Limits{}, nil, []cataloguer.Service{service}, nil, false)
+	var endpoints []*cataloguer.Endpoint
+	for d := range domains {
+		for n := range each {
+			endpoints = append(endpoints, &cataloguer.Endpoint{
+				ID:      model.EndpointID(fmt.Sprintf("e-%d-%d", d, n)),
+				Service: testService,
+				Domain:  model.DomainID(fmt.Sprintf("d-%d", d)),
+				Slots:   64,
+			})
+		}
+	}
+	closed := map[model.DomainID]bool{}
+	for _, d := range out {
+		closed[d] = true
+	}
+
+	return cataloguer.NewView(c, closed, endpoints, 1, 0)
+}
+
+func newTestBalancer() *Balancer {
+	b := NewBalancer(Terms{LoadMultiple: 2, ColdOvershoot: 1.5, ColdSlack: 5}, "self", "d-0")
+	b.Gateways = []string{"self"}
+
+	return b
+}
+
+// A domain that is out still counts in the mean that the operators' bound speaks of.
+func TestLoadBoundWhileADomainIsOut(t *testing.T) {
+	const requests, sessions, multiple, slack = 240, 4, 2, 3
+	v := world(3, 4, "d-2")
+	b := newTestBalancer()
+	over := 0
+	for n := range requests {
+		c, refusal := b.Choose(v, Query{Service: testService, Session: uint64(1 + n%sessions)}, 0)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		if v.Out[c.Endpoint.Domain] {
+			t.Fatalf("%s is in a domain that is out", c.Endpoint.ID)
+		}
+		b.Start(c.Endpoint.ID, 0)
+		mean := float64(n+1) / 12
+		if float64(b.Load(c.Endpoint.ID, 0)) > multiple*mean+slack {
+			over++
+		}
+	}
+	if over > 0 {
+		t.Fatalf("%d of %d requests went to an endpoint over the bound", over, requests)
+	}
+}
+
+func TestSessionStaysWhileItsEndpointIsUnderTheBound(t *testing.T) {
+	v := world(2, 3)
+	b := newTestBalancer()
+	first, _ := b.Choose(v, Query{Service: testService, Session: 7}, 0)
+	for n := range 20 {
+		c, _ := b.Choose(v, Query{Service: testService, Session: 7}, timekeeper.Millis(n))
+		if c.Endpoint != first.Endpoint {
+			t.Fatalf("request %d went to %s, not to %s", n, c.Endpoint.ID, first.Endpoint.ID)
+		}
+	}
+}
--- a/fleet/replicator/replica.go
+++ b/fleet/replicator/replica.go
@@ -30,8 +30,10 @@
 	asOf     uint64
 	content  uint64
 	synced   bool
-	// heard is when the store last answered; holdUntil ends the doubt after an outage.
+	// heard is when the store last answered this process, witnessed when it last answered another one.
 	heard     timekeeper.Millis
+	witnessed timekeeper.Millis
+	// holdUntil ends the doubt after an outage.
 	holdUntil timekeeper.Millis
 }
 
@@ -62,12 +64,17 @@
 
 // Reached notes an answer of the store and doubts deletions for a while after an outage.
 func (r *Replica) Reached(now timekeeper.Millis) {
-	if r.Lapse > 0 && r.synced && r.heard > 0 && now-r.heard >= r.Lapse {
+	if r.Lapse > 0 && r.synced && r.heard > 0 && now-max(r.heard, r.witnessed) >= r.Lapse {
 		r.holdUntil = now + lapseHold
 	}
 	r.heard = now
 }
 
+// Witness notes that another process had an answer of the store at an instant, so that the store was not away.
+func (r *Replica) Witness(at timekeeper.Millis) {
+	r.witnessed = max(r.witnessed, at)
+}
+
 // Replace takes a whole range as read at a revision and tells whether anything changed.
 func (r *Replica) Replace(items []Item, asOf uint64, now timekeeper.Millis) bool {
 	if r.synced && asOf < r.asOf {
@@ -90,10 +97,13 @@
 	return changed
 }
 
-// Apply takes changes that follow the state of the replica and tells whether anything changed.
+// Apply takes changes and tells whether any was news; those up to AsOf are part of the replica already.
 func (r *Replica) Apply(events []Item, asOf uint64, now timekeeper.Millis) bool {
 	changed := false
 	for _, e := range events {
+		if e.Revision <= r.asOf {
+			continue
+		}
 		if e.Deleted {
 			changed = r.remove(e, now) || changed
 		} else {
@@ -158,6 +168,15 @@
 	return items
 }
 
+// Copy returns the items for another process, without those that the store has deleted.
+func (r *Replica) Copy() []Item {
+	return slices.DeleteFunc(r.Items(), func(i Item) bool {
+		_, doubted := r.doubtful[i.Key]
+
+		return doubted
+	})
+}
+
 // Get returns the item of a key.
 func (r *Replica) Get(key string) (Item, bool) {
 	item, ok := r.items[key]
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -179,10 +179,14 @@
 	return &messenger.RangeState{AsOf: r.AsOf(), Content: r.Content(), Synced: r.Synced()}
 }
 
+// news is what this gateway says of itself; the caller holds the gateway's lock.
 func (p *peers) news() *messenger.GatewayNews {
 	p.mu.Lock()
-	news := &messenger.GatewayNews{Address: p.g.settings.PeerListen, Gateways: p.addresses()}
+	news := &messenger.GatewayNews{Address: p.g.settings.PeerListen, Gateways: p.addresses(), StoreSilenceMs: -1}
 	p.mu.Unlock()
+	if heard := p.g.endpoints.Heard(); heard > 0 {
+		news.StoreSilenceMs = int64(p.g.clock.Now() - heard)
+	}
 	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
 		for id, n := range b.Running() {
 			news.Uses = append(news.Uses, &messenger.EndpointUse{Endpoint: string(id), Running: uint32(n)})
@@ -198,6 +202,11 @@
 		return
 	}
 	p.meet(append(news.Gateways, news.Address))
+	if news.StoreSilenceMs >= 0 {
+		p.g.mu.Lock()
+		p.g.endpoints.Witness(p.g.clock.Now() - timekeeper.Millis(news.StoreSilenceMs))
+		p.g.mu.Unlock()
+	}
 	running := make(map[model.EndpointID]int, len(news.Uses))
 	for _, u := range news.Uses {
 		running[model.EndpointID(u.Endpoint)] = int(u.Running)
@@ -229,7 +238,7 @@
 		return nil
 	}
 	c := &messenger.RangeCopy{AsOf: r.AsOf()}
-	for _, item := range r.Items() {
+	for _, item := range r.Copy() {
 		c.Items = append(c.Items, &messenger.StoredItem{Key: item.Key, Value: item.Value, Revision: item.Revision})
 	}
 
