A session's prompt is fetched from the endpoint that holds it

A session that moves (spill, new endpoint, release) was read anew. Change: locator remembers the endpoints of a session; the order names one of them to fetch from; for sessions of other gateways the first settled endpoint in the session's order is taken.

--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -4,6 +4,7 @@
 	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/hasher"
+	"cardamompulley/fleet/locator"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/retrier"
 	"cardamompulley/fleet/timekeeper"
@@ -16,6 +17,12 @@
 	loadFloor = 2
 	// reportLifetime is how long the counts of another gateway are believed.
 	reportLifetime = 3 * timekeeper.Second
+	// rememberedSessions bounds the memory of sessions, at about 100 bytes each.
+	rememberedSessions = 20_000
+	// sessionLifetime is how long a cached prompt is expected to stay with its endpoint.
+	sessionLifetime = timekeeper.Minute
+	// settled is the age of an endpoint after which its sessions are expected to have reached it.
+	settled = 20 * timekeeper.Second
 )
 
 // Reason says why an endpoint was chosen.
@@ -52,6 +59,8 @@
 	Reason   Reason
 	Load     int
 	Mean     float64
+	// Source is an endpoint that seems to hold the session's prompt which the chosen one lacks, or nil.
+	Source *cataloguer.Endpoint
 }
 
 // member is what a gateway knows of one endpoint beyond its entry.
@@ -69,6 +78,7 @@
 	domain  model.DomainID
 	colds   *budgeter.Colds
 	members map[model.EndpointID]*member
+	located *locator.Locator
 	reports map[string]report
 }
 
@@ -84,6 +94,7 @@
 		domain:  d,
 		colds:   budgeter.NewColds(self),
 		members: map[model.EndpointID]*member{},
+		located: locator.NewLocator(rememberedSessions, sessionLifetime),
 		reports: map[string]report{},
 	}
 }
@@ -178,12 +189,52 @@
 			WithRetryAfter(wait)
 	}
 	if service.Engine && q.Session != 0 {
-		return b.bySession(candidates, b.meanLoad(known, now)), nil
+		c := b.bySession(candidates, b.meanLoad(known, now))
+		c.Source = b.source(v, known, q.Session, c.Endpoint, now)
+		b.located.Note(q.Session, c.Endpoint.ID, now)
+
+		return c, nil
 	}
 
 	return b.byLoad(candidates, b.meanLoad(known, now)), nil
 }
 
+// source finds where the chosen endpoint can fetch what it lacks of a session's prompt.
+func (b *Balancer) source(v *cataloguer.View, known []*cataloguer.Endpoint, session uint64, chosen *cataloguer.Endpoint, now timekeeper.Millis) *cataloguer.Endpoint {
+	holders := b.located.Holders(session, now)
+	if contains(holders, chosen.ID) {
+		return nil
+	}
+	for _, id := range holders {
+		if e := v.Endpoint(id); e != nil && !b.member(id).breaker.Blocked(now) {
+			return e
+		}
+	}
+
+	return b.likelySource(known, session, chosen, now)
+}
+
+// likelySource guesses the holder that other gateways have used: the first settled endpoint in the session's order,
+// unless that is the chosen one.
+func (b *Balancer) likelySource(known []*cataloguer.Endpoint, session uint64, chosen *cataloguer.Endpoint, now timekeeper.Millis) *cataloguer.Endpoint {
+	var best *cataloguer.Endpoint
+	var score uint64
+	for _, e := range known {
+		m := b.member(e.ID)
+		if now-e.Since < settled || m.breaker.Blocked(now) {
+			continue
+		}
+		if s := hasher.Mix(session ^ m.seed); best == nil || s > score {
+			best, score = e, s
+		}
+	}
+	if best == chosen {
+		return nil
+	}
+
+	return best
+}
+
 // meanLoad counts endpoints that take no new work too, as the operators' bound does.
 func (b *Balancer) meanLoad(known []*cataloguer.Endpoint, now timekeeper.Millis) float64 {
 	total := 0
--- a/fleet/cataloguer/endpoint.go
+++ b/fleet/cataloguer/endpoint.go
@@ -19,4 +19,6 @@
 	Revision uint64
 	// ColdUntil is the instant, on the clock of this process, at which the cold start ends.
 	ColdUntil timekeeper.Millis
+	// Since is the instant at which this process first saw the endpoint.
+	Since timekeeper.Millis
 }
--- /dev/null
+++ b/fleet/locator/doc.go
@@ -0,0 +1,2 @@
+// Package locator remembers which endpoints hold the cached prompt of a session.
+package locator
--- a/router/internal/forwarder/job.go
+++ b/router/internal/forwarder/job.go
@@ -221,11 +221,16 @@
 	if j.stream.last != "" {
 		last = j.stream.last
 	}
+	fetch := ""
+	if e := j.choice.Source; e != nil {
+		fetch = e.Address
+	}
 	platform.EncodeOrder(header, platform.Order{
 		Target:    j.choice.Endpoint.ID,
 		Account:   j.account.ID,
 		Left:      max(j.left(), 1),
 		LastEvent: last,
+		FetchFrom: fetch,
 		Urgency:   -1,
 	})
 
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -34,6 +34,10 @@
 			logger.Int("attempts", j.arrivals))
 	}
 
+	if e := j.choice.Source; e != nil {
+		fields = append(fields, logger.String("fetch-from", e.ID))
+	}
+
 	return fields
 }
 
--- a/router/internal/gateway/listing.go
+++ b/router/internal/gateway/listing.go
@@ -114,6 +114,10 @@
 		return decoded{revision: item.Revision}
 	}
 	e.Revision = item.Revision
+	e.Since = g.clock.Now()
+	if before != nil {
+		e.Since = before.Since
+	}
 	if e.Cold > 0 {
 		e.ColdUntil = g.clock.Now() + e.Cold
 	}
