The first parts of a prompt are fetched too

Cause: new endpoints read the small parts that all sessions share (512, 341 tokens) though others hold them.

--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -47,8 +47,10 @@
 // Query is what a choice depends on.
 type Query struct {
 	Service model.ServiceID
-	// Session is the shared part of the prompt that an endpoint may have cached, zero for none.
+	// Session is the last shared part of the prompt, zero for none.
 	Session uint64
+	// Shared are the parts of the prompt that endpoints may have cached, in order; the last is the session.
+	Shared []model.PromptPart
 	// Tried are the endpoints that have failed this request.
 	Tried []model.EndpointID
 }
@@ -190,8 +192,10 @@
 	}
 	if service.Engine && q.Session != 0 {
 		c := b.bySession(candidates, b.meanLoad(known, now))
-		c.Source = b.source(v, known, q.Session, c.Endpoint, now)
-		b.located.Note(q.Session, c.Endpoint.ID, now)
+		c.Source = b.source(v, known, q, c.Endpoint, now)
+		for _, p := range q.Shared {
+			b.located.Note(p.ID, c.Endpoint.ID, now)
+		}
 
 		return c, nil
 	}
@@ -199,19 +203,35 @@
 	return b.byLoad(candidates, b.meanLoad(known, now)), nil
 }
 
-// source finds where the chosen endpoint can fetch what it lacks of a session's prompt.
-func (b *Balancer) source(v *cataloguer.View, known []*cataloguer.Endpoint, session uint64, chosen *cataloguer.Endpoint, now timekeeper.Millis) *cataloguer.Endpoint {
-	holders := b.located.Holders(session, now)
-	if contains(holders, chosen.ID) {
-		return nil
+// source finds where the chosen endpoint can fetch what it lacks of the prompt: at a holder of the longest known part.
+func (b *Balancer) source(v *cataloguer.View, known []*cataloguer.Endpoint, q Query, chosen *cataloguer.Endpoint, now timekeeper.Millis) *cataloguer.Endpoint {
+	for i := len(q.Shared) - 1; i >= 0; i-- {
+		holders := b.located.Holders(q.Shared[i].ID, now)
+		if contains(holders, chosen.ID) {
+			return nil
+		}
+		if e := b.firstReachable(v, holders, now); e != nil {
+			return e
+		}
+		if q.Shared[i].ID != q.Session {
+			continue
+		}
+		if e := b.likelySource(known, q.Session, chosen, now); e != nil {
+			return e
+		}
 	}
-	for _, id := range holders {
+
+	return nil
+}
+
+func (b *Balancer) firstReachable(v *cataloguer.View, ids []model.EndpointID, now timekeeper.Millis) *cataloguer.Endpoint {
+	for _, id := range ids {
 		if e := v.Endpoint(id); e != nil && !b.member(id).breaker.Blocked(now) {
 			return e
 		}
 	}
 
-	return b.likelySource(known, session, chosen, now)
+	return nil
 }
 
 // likelySource guesses the holder that other gateways have used: the first settled endpoint in the session's order,
--- a/fleet/model/facts.go
+++ b/fleet/model/facts.go
@@ -29,6 +29,15 @@
 	LastEvent string
 }
 
+// Shared returns the parts of the prompt that other requests may share.
+func (f *Facts) Shared() []PromptPart {
+	if len(f.Prompt) < 2 {
+		return f.Prompt
+	}
+
+	return f.Prompt[:len(f.Prompt)-1]
+}
+
 // Session returns the id of the last part that other requests may share, or zero.
 func (f *Facts) Session() uint64 {
 	switch n := len(f.Prompt); n {
--- a/router/internal/forwarder/job.go
+++ b/router/internal/forwarder/job.go
@@ -193,7 +193,7 @@
 }
 
 func (j *job) query() balancer.Query {
-	return balancer.Query{Service: j.service, Session: j.facts.Session(), Tried: j.tried}
+	return balancer.Query{Service: j.service, Session: j.facts.Session(), Shared: j.facts.Shared(), Tried: j.tried}
 }
 
 // goOn decides whether the request may be sent to another endpoint.
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -34,6 +34,11 @@
 			logger.Int("attempts", j.arrivals))
 	}
 
+	if j.stream.started {
+		fields = append(fields,
+			logger.Int("first-ms", j.stream.firstAt-j.arrived),
+			logger.Int("longest-gap-ms", j.stream.gap))
+	}
 	if e := j.choice.Source; e != nil {
 		fields = append(fields, logger.String("fetch-from", e.ID))
 	}
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"cardamompulley/fleet/logger"
+	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/router/internal/connector"
 )
 
@@ -22,6 +23,20 @@
 	started bool
 	last    string
 	pending []byte
+	// firstAt and readAt are when the first and the newest events arrived; gap is the longest pause between two.
+	firstAt timekeeper.Millis
+	readAt  timekeeper.Millis
+	gap     timekeeper.Millis
+}
+
+// beat notes the arrival of events.
+func (s *stream) beat(now timekeeper.Millis) {
+	if s.firstAt == 0 {
+		s.firstAt = now
+	} else {
+		s.gap = max(s.gap, now-s.readAt)
+	}
+	s.readAt = now
 }
 
 // take adds bytes and returns those that form whole events; the result is valid until the next call.
@@ -78,6 +93,7 @@
 	if len(events) == 0 {
 		return
 	}
+	j.stream.beat(j.f.clock.Now())
 	if !j.stream.started {
 		j.startStream(response)
 	}
