--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -75,6 +75,8 @@
 // Balancer holds the state behind the choices of one gateway.
 type Balancer struct {
 	Gateways []string
+	// Journal holds the placements that other gateways are to be told of.
+	Journal locator.Journal
 
 	terms   Terms
 	domain  model.DomainID
@@ -116,6 +118,13 @@
 	b.reports[gateway] = report{at: now, running: running}
 }
 
+// Learn takes placements of another gateway.
+func (b *Balancer) Learn(ps []locator.Placement, now timekeeper.Millis) {
+	for _, p := range ps {
+		b.located.Note(p.Part, p.Endpoint, now)
+	}
+}
+
 // Running returns this gateway's own running counts.
 func (b *Balancer) Running() map[model.EndpointID]int {
 	running := map[model.EndpointID]int{}
@@ -194,7 +203,9 @@
 		c := b.bySession(candidates, b.meanLoad(known, now))
 		c.Source = b.source(v, known, q, c.Endpoint, now)
 		for _, p := range q.Shared {
-			b.located.Note(p.ID, c.Endpoint.ID, now)
+			if b.located.Note(p.ID, c.Endpoint.ID, now) {
+				b.Journal.Add(locator.Placement{Part: p.ID, Endpoint: c.Endpoint.ID})
+			}
 		}
 
 		return c, nil
--- a/fleet/locator/locator.go
+++ b/fleet/locator/locator.go
@@ -30,17 +30,23 @@
 	return &Locator{lifetime: lifetime, sessions: cache}
 }
 
-// Note remembers that an endpoint has read the prompt of a session.
-func (l *Locator) Note(session uint64, id model.EndpointID, now timekeeper.Millis) {
+// Note remembers that an endpoint has read the prompt of a session and tells whether that is news.
+func (l *Locator) Note(session uint64, id model.EndpointID, now timekeeper.Millis) bool {
 	known, _ := l.sessions.Get(session)
+	news := true
 	next := make([]holder, 0, maxHolders)
 	next = append(next, holder{endpoint: id, at: now})
 	for _, h := range known {
-		if h.endpoint != id && now-h.at < l.lifetime && len(next) < maxHolders {
+		fresh := now-h.at < l.lifetime
+		if h.endpoint == id {
+			news = !fresh
+		} else if fresh && len(next) < maxHolders {
 			next = append(next, h)
 		}
 	}
 	l.sessions.Add(session, next)
+
+	return news
 }
 
 // Holders returns the endpoints that hold the prompt of a session, the last used first.
--- a/fleet/logger/logger.go
+++ b/fleet/logger/logger.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strconv"
 
 	"github.com/go-kit/log"
 )
@@ -66,3 +67,8 @@
 func Bool(name string, value bool) Field {
 	return Field{name: name, value: value}
 }
+
+// Hex returns a field of a hexadecimal id.
+func Hex(name string, value uint64) Field {
+	return Field{name: name, value: strconv.FormatUint(value, 16)}
+}
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -34,6 +34,12 @@
 			logger.Int("attempts", j.arrivals))
 	}
 
+	if n := len(j.facts.Prompt); n > 0 {
+		fields = append(fields,
+			logger.Hex("session", j.facts.Session()),
+			logger.Int("prompt-tokens", j.facts.PromptTokens),
+			logger.Int("own-tokens", j.facts.Prompt[n-1].Tokens))
+	}
 	if j.stream.started {
 		fields = append(fields,
 			logger.Int("first-ms", j.stream.firstAt-j.arrived),
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -12,6 +12,7 @@
 
 	"cardamompulley/fleet/balancer"
 	"cardamompulley/fleet/budgeter"
+	"cardamompulley/fleet/locator"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/messenger"
 	"cardamompulley/fleet/messenger/messengerconnect"
@@ -25,6 +26,8 @@
 	tradeTimeout  = 600 * timekeeper.Millis(1)
 	// tradesAtOnce is the number of gateways asked in one interval.
 	tradesAtOnce = 3
+	// maxPlacements bounds the placements of one trade.
+	maxPlacements = 64
 )
 
 // peers knows the other gateways and trades with them; a gateway once known counts for shares as long as this process lives.
@@ -41,6 +44,8 @@
 
 type peer struct {
 	lost bool
+	// told is the number of the next placement to tell the gateway.
+	told uint64
 	// busy is true while a trade with the gateway is under way.
 	busy bool
 }
@@ -124,11 +129,14 @@
 func (p *peers) trade(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, tradeTimeout.Duration())
 	defer cancel()
-	response, err := p.clientOf(address).Trade(ctx, p.request())
+	request := p.request()
+	next := p.addPlacements(address, request)
+	response, err := p.clientOf(address).Trade(ctx, request)
 	p.note(address, err)
 	if err != nil {
 		return
 	}
+	p.told(address, next)
 	p.learn(response.News)
 	p.takeCopy(p.g.operator, "operator", response.Operator)
 	p.takeCopy(p.g.endpoints, "endpoints", response.Endpoints)
@@ -175,6 +183,40 @@
 	}
 }
 
+// addPlacements puts what the other gateway has not been told into a request and returns where the next one begins.
+func (p *peers) addPlacements(address string, r *messenger.TradeRequest) uint64 {
+	p.mu.Lock()
+	from := p.known[address].told
+	p.mu.Unlock()
+	var fresh []locator.Placement
+	next := from
+	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
+		fresh, next = b.Journal.Since(from, maxPlacements)
+	})
+	for _, f := range fresh {
+		r.Placements = append(r.Placements, &messenger.Placement{Part: f.Part, Endpoint: string(f.Endpoint)})
+	}
+
+	return next
+}
+
+func (p *peers) told(address string, next uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.known[address].told = next
+}
+
+func (p *peers) learnPlacements(told []*messenger.Placement) {
+	if len(told) == 0 {
+		return
+	}
+	placements := make([]locator.Placement, 0, len(told))
+	for _, t := range told {
+		placements = append(placements, locator.Placement{Part: t.Part, Endpoint: model.EndpointID(t.Endpoint)})
+	}
+	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) { b.Learn(placements, p.g.clock.Now()) })
+}
+
 func stateOf(r *replicator.Replica) *messenger.RangeState {
 	return &messenger.RangeState{AsOf: r.AsOf(), Content: r.Content(), Synced: r.Synced()}
 }
@@ -219,6 +261,7 @@
 // Trade answers another gateway.
 func (p *peers) Trade(_ context.Context, r *messenger.TradeRequest) (*messenger.TradeResponse, error) {
 	p.learn(r.News)
+	p.learnPlacements(r.Placements)
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
 
