--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -8,6 +8,7 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"syscall"
 
 	"cardamompulley/fleet/model"
 	"cardamompulley/platform"
@@ -52,6 +53,9 @@
 		if j.ctx.Err() == nil {
 			j.f.noteHealth(e.ID, false)
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			j.f.crashed(e.ID)
+		}
 
 		return &failure{err: err}
 	}
@@ -82,6 +86,9 @@
 func (j *job) lose(conn *connector.Conn, err error) *failure {
 	conn.Close()
 	j.sent++
+	if j.ctx.Err() == nil {
+		j.f.blame(j.choice.Endpoint.ID, j.fingerprint)
+	}
 	if j.ctx.Err() == nil && !conn.Reused {
 		j.f.noteHealth(j.choice.Endpoint.ID, false)
 	}
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/quarantiner"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/router/internal/connector"
 )
@@ -40,6 +41,7 @@
 	mu       sync.Mutex
 	balancer *balancer.Balancer
 	retries  *budgeter.Retries
+	suspects *quarantiner.Suspects
 }
 
 // NewForwarder returns a forwarder that sends over the connections of a pool.
@@ -52,9 +54,17 @@
 		pool:     p,
 		balancer: b,
 		retries:  r,
+		suspects: quarantiner.NewSuspects(quarantiner.NewRegister()),
 	}
 }
 
+// Marks changes what is known of requests that crash endpoints under its lock.
+func (f *Forwarder) Marks(change func(*quarantiner.Register)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f.suspects.Register)
+}
+
 // Update changes the state behind the decisions under their lock.
 func (f *Forwarder) Update(change func(*balancer.Balancer, *budgeter.Retries)) {
 	f.mu.Lock()
@@ -116,3 +126,32 @@
 
 	return f.retries.Spend(id, len(f.balancer.Gateways), f.clock.Now())
 }
+
+// blame notes a request whose connection broke.
+func (f *Forwarder) blame(id model.EndpointID, p model.Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspects.Lost(id, p, f.clock.Now())
+}
+
+// crashed notes that nobody listens at an endpoint's address.
+func (f *Forwarder) crashed(id model.EndpointID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspects.Crashed(id, f.clock.Now())
+}
+
+// condemned tells whether a request has crashed too many endpoints, and for how long it is refused.
+func (f *Forwarder) condemned(p model.Fingerprint) (bool, timekeeper.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.suspects.Refused(p, f.clock.Now())
+}
+
+// clear forgets the marks of a request that an endpoint has served.
+func (f *Forwarder) clear(p model.Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspects.Register.Clear(p)
+}
--- a/router/internal/forwarder/job.go
+++ b/router/internal/forwarder/job.go
@@ -49,6 +49,8 @@
 	tried    []model.EndpointID
 	choice   balancer.Choice
 	stream   stream
+	// fingerprint is the same for all attempts of a caller at one request.
+	fingerprint model.Fingerprint
 }
 
 func newJob(f *Forwarder, w http.ResponseWriter, r *http.Request) *job {
@@ -78,8 +80,29 @@
 	j.setLimit()
 	j.service = j.route.Pick(j.point())
 	j.header = outgoing(j.r.Header)
+	if refusal := j.readBody(); refusal != nil {
+		return refusal
+	}
+
+	return j.checkMarks()
+}
+
+// checkMarks refuses a request that has crashed the endpoints that ran it.
+func (j *job) checkMarks() *model.Refusal {
+	d := xxhash.New()
+	for _, part := range []string{j.r.Method, j.r.Host, j.r.RequestURI, string(j.account.ID)} {
+		// Writing to a hash never fails.
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(j.body)
+	j.fingerprint = model.Fingerprint(d.Sum64())
+	condemned, span := j.f.condemned(j.fingerprint)
+	if !condemned {
+		return nil
+	}
 
-	return j.readBody()
+	return model.NewRefusal(model.CodeCondemned, "the request has crashed the endpoints that ran it").WithRetryAfter(span)
 }
 
 // setLimit ends the request at the caller's deadline or the route's timeout, whichever is first.
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -58,6 +58,9 @@
 
 func (j *job) logServed(status int) {
 	served.Inc()
+	if status < 300 {
+		j.f.clear(j.fingerprint)
+	}
 	totalLatency.Update(float64(j.f.clock.Now()-j.arrived) / 1000)
 	j.f.log.Write(logger.EventRequestServed, append(j.fields(), logger.Int("status", status))...)
 }
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -137,6 +137,7 @@
 	conn.Close()
 	if j.ctx.Err() == nil {
 		j.f.noteHealth(j.choice.Endpoint.ID, false)
+		j.f.blame(j.choice.Endpoint.ID, j.fingerprint)
 	}
 	if j.stream.started && j.route.Resumable && j.ctx.Err() == nil {
 		resumed.Inc()
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -17,6 +17,7 @@
 	"cardamompulley/fleet/messenger"
 	"cardamompulley/fleet/messenger/messengerconnect"
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/quarantiner"
 	"cardamompulley/fleet/replicator"
 	"cardamompulley/fleet/timekeeper"
 )
@@ -234,6 +235,13 @@
 			news.Uses = append(news.Uses, &messenger.EndpointUse{Endpoint: string(id), Running: uint32(n)})
 		}
 	})
+	p.g.forward.Marks(func(r *quarantiner.Register) {
+		for _, m := range r.Share(p.g.clock.Now()) {
+			news.Marks = append(news.Marks, &messenger.CrashMark{
+				Fingerprint: uint64(m.Fingerprint), Crashes: uint32(m.Crashes), ExpiresInMs: int64(m.ExpiresIn),
+			})
+		}
+	})
 
 	return news
 }
@@ -256,6 +264,15 @@
 	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
 		b.Report(news.Address, running, p.g.clock.Now())
 	})
+	p.g.forward.Marks(func(r *quarantiner.Register) {
+		for _, m := range news.Marks {
+			r.Learn(quarantiner.Mark{
+				Fingerprint: model.Fingerprint(m.Fingerprint),
+				Crashes:     int(m.Crashes),
+				ExpiresIn:   timekeeper.Millis(m.ExpiresInMs),
+			}, p.g.clock.Now())
+		}
+	})
 }
 
 // Trade answers another gateway.
