--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := fleet router sidecar cardamompulley standin experimenter
+MODULES := fleet platform router sidecar cardamompulley standin experimenter
 PROGRAMS := router sidecar cardamompulley standin experimenter
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -283,25 +283,28 @@
 
 func (b *Balancer) candidates(v *cataloguer.View, known []*cataloguer.Endpoint, s cataloguer.Service, q Query, now timekeeper.Millis) ([]candidate, timekeeper.Millis) {
 	candidates := make([]candidate, 0, len(known))
+	var blocked []candidate
 	wait := emptyWait
 	for _, e := range known {
 		if !v.Open(e) || contains(q.Tried, e.ID) {
 			continue
 		}
 		m := b.member(e.ID)
-		if m.breaker.Blocked(now) {
-			continue
-		}
 		if e.ColdUntil > now && !b.colds.Room(e.ID, b.coldShare(s, e), now) {
 			wait = coldWait
 
 			continue
 		}
-		candidates = append(candidates, candidate{
-			endpoint: e,
-			load:     b.Load(e.ID, now),
-			score:    hasher.Mix(q.Session ^ m.seed),
-		})
+		c := candidate{endpoint: e, load: b.Load(e.ID, now), score: hasher.Mix(q.Session ^ m.seed)}
+		if m.breaker.Blocked(now) {
+			blocked = append(blocked, c)
+		} else {
+			candidates = append(candidates, c)
+		}
+	}
+	// A doubtful endpoint is better than a certain refusal.
+	if len(candidates) == 0 {
+		candidates = blocked
 	}
 
 	return candidates, wait
--- a/fleet/balancer/balancer_test.go
+++ b/fleet/balancer/balancer_test.go
@@ -77,3 +77,37 @@
 		}
 	}
 }
+
+func TestBlockedEndpointsAreTriedWhenNothingElseIsLeft(t *testing.T) {
+	v := world(1, 2)
+	b := newTestBalancer()
+	b.Fail("e-0-0", 0)
+	for range 5 {
+		c, _ := b.Choose(v, Query{Service: testService, Session: 3}, 1)
+		if c.Endpoint.ID != "e-0-1" {
+			t.Fatalf("chose %s, which is blocked", c.Endpoint.ID)
+		}
+	}
+	b.Fail("e-0-1", 0)
+	if _, refusal := b.Choose(v, Query{Service: testService, Session: 3}, 1); refusal != nil {
+		t.Fatalf("refused though endpoints may answer: %v", refusal)
+	}
+}
+
+func TestColdEndpointsGetTheirShareOnly(t *testing.T) {
+	v := world(1, 1)
+	v.Endpoints(testService)[0].ColdUntil = 10 * timekeeper.Second
+	b := newTestBalancer()
+	b.Gateways = []string{"self", "other", "third", "fourth"}
+	sent := 0
+	for n := range 100 {
+		now := timekeeper.Millis(n * 10)
+		if c, refusal := b.Choose(v, Query{Service: testService, Session: 1}, now); refusal == nil {
+			b.Start(c.Endpoint.ID, now)
+			sent++
+		}
+	}
+	if sent == 0 || sent > 3 {
+		t.Fatalf("%d requests in a second, the share is 3", sent)
+	}
+}
--- a/router/internal/gateway/serve.go
+++ b/router/internal/gateway/serve.go
@@ -25,6 +25,8 @@
 	memoryShare = 0.7
 	// noticeSpan is how long a stopping gateway still takes connections, until the balancer has noticed.
 	noticeSpan = 2300 * timekeeper.Millis(1)
+	// pageTimeout is how long a request for a page of this process may take to arrive.
+	pageTimeout = 5 * timekeeper.Second
 	// graceMargin is kept at the end of the shutdown grace.
 	graceMargin = 300 * timekeeper.Millis(1)
 )
@@ -35,24 +37,26 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	g := NewGateway(s, clock, log)
-	d := newDoors(g.forward, g.limits)
-	listeners, err := g.listen(d)
+	open, err := bind(s, log)
 	if err != nil {
 		return err
 	}
+	// The bound address names this gateway to the others.
+	s.PeerListen = open[purposePeer].Addr().String()
+	g := NewGateway(s, clock, log)
+	d := newDoors(g.forward, g.limits)
 	background, end := context.WithCancel(context.Background())
 	var w conc.WaitGroup
-	for _, l := range listeners {
-		w.Go(l.serve)
+	for purpose, serve := range g.servers(d) {
+		w.Go(func() { g.report(purpose, serve(open[purpose])) })
 	}
 	w.Go(func() { g.Run(background) })
 	w.Go(func() { g.reload(background, path) })
 	<-term.Done()
 	err = g.drain(d)
 	end()
-	for _, l := range listeners {
-		l.close()
+	for _, l := range open {
+		_ = l.Close()
 	}
 	w.Wait()
 	log.Write(logger.EventShutdownFinished)
@@ -80,38 +84,52 @@
 	return firstLimits
 }
 
-type listening struct {
-	serve func()
-	close func()
-}
+// Purposes of the listeners.
+const (
+	purposeCallers = "callers"
+	purposeReady   = "ready"
+	purposePeer    = "peer"
+	purposeMetrics = "metrics"
+)
 
-func (g *Gateway) listen(d *doors) ([]listening, error) {
-	var all []listening
-	add := func(purpose, address string, serve func(net.Listener) error) error {
-		l, err := runner.Listen(purpose, address, os.Stdout, g.log)
+// bind opens every listener or none.
+func bind(s Settings, log logger.Logger) (map[string]net.Listener, error) {
+	addresses := map[string]string{
+		purposeCallers: s.Listen,
+		purposeReady:   s.ReadyListen,
+		purposePeer:    s.PeerListen,
+		purposeMetrics: s.MetricsListen,
+	}
+	open := map[string]net.Listener{}
+	for purpose, address := range addresses {
+		l, err := runner.Listen(purpose, address, os.Stdout, log)
 		if err != nil {
-			return err
-		}
-		all = append(all, listening{
-			serve: func() { g.report(purpose, serve(l)) },
-			close: func() { _ = l.Close() },
-		})
+			for _, other := range open {
+				_ = other.Close()
+			}
 
-		return nil
+			return nil, err
+		}
+		open[purpose] = l
 	}
+
+	return open, nil
+}
+
+// servers returns what answers at each listener.
+func (g *Gateway) servers(d *doors) map[string]func(net.Listener) error {
 	plain := func(h http.Handler) func(net.Listener) error {
-		server := &http.Server{Handler: h, ReadHeaderTimeout: tradeTimeout.Duration() * 10}
+		server := &http.Server{Handler: h, ReadHeaderTimeout: pageTimeout.Duration()}
 
 		return server.Serve
 	}
-	err := errors.Join(
-		add("callers", g.settings.Listen, d.serve),
-		add("ready", g.settings.ReadyListen, plain(readyHandler(g.Ready))),
-		add("peer", g.settings.PeerListen, plain(g.peers.handler())),
-		add("metrics", g.settings.MetricsListen, plain(metricsHandler())),
-	)
-
-	return all, err
+
+	return map[string]func(net.Listener) error{
+		purposeCallers: d.serve,
+		purposeReady:   plain(readyHandler(g.Ready)),
+		purposePeer:    plain(g.peers.handler()),
+		purposeMetrics: plain(metricsHandler()),
+	}
 }
 
 func (g *Gateway) report(purpose string, err error) {
--- a/standin/internal/cli/cli.go
+++ b/standin/internal/cli/cli.go
@@ -30,6 +30,8 @@
 	commander.Register(&platformCommand{out: out}, "")
 	commander.Register(&engineCommand{out: out}, "")
 	commander.Register(&plainCommand{out: out}, "")
+	commander.Register(&storeCommand{out: out}, "")
+	commander.Register(&responderCommand{out: out}, "")
 	if err := flags.Parse(arguments); err != nil {
 		return runner.ExitSettings
 	}
