--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -66,6 +66,8 @@
 	if err != nil {
 		return j.lose(conn, err)
 	}
+	// By then the body has been read to its end or its connection is closed.
+	defer func() { _ = response.Body.Close() }()
 	reply := platform.DecodeReply(response.StatusCode, response.Header)
 	if reply.Attempt != "" && reply.Attempt != j.facts.Attempt {
 		return j.lose(conn, errCrossed)
