--- a/experimenter/internal/launcher/gateway_test.go
+++ b/experimenter/internal/launcher/gateway_test.go
@@ -370,6 +370,18 @@
 	}
 }
 
+// A request that comes with the start of a gateway waits for the configuration that is on its way.
+func TestGatewayHoldsRequestsAtItsStart(t *testing.T) {
+	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways = 0 })
+	must(t, f.StoreFaults(`{"status": 503}`))
+	g, err := f.StartGateway()
+	must(t, err)
+	time.AfterFunc(50*time.Millisecond, func() { _ = f.StoreFaults(`{}`) })
+	if a := newCall(g, http.MethodGet, lookups).get(t); a.status != http.StatusOK {
+		t.Fatalf("status %d", a.status)
+	}
+}
+
 func TestGatewayFollowsTheStore(t *testing.T) {
 	f := launchGateways(t, nil)
 	target := func() string {
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -1,8 +1,10 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -33,10 +35,13 @@
 	View func() *cataloguer.View
 	// Closing tells whether kept connections are to be closed after their answers.
 	Closing func() bool
+	// Known is closed once the process holds a first configuration and list of endpoints.
+	Known <-chan struct{}
 
-	clock timekeeper.Clock
-	log   logger.Logger
-	pool  *connector.Pool
+	clock   timekeeper.Clock
+	log     logger.Logger
+	pool    *connector.Pool
+	started timekeeper.Millis
 
 	mu       sync.Mutex
 	balancer *balancer.Balancer
@@ -49,9 +54,11 @@
 	return &Forwarder{
 		View:     func() *cataloguer.View { return nil },
 		Closing:  func() bool { return false },
+		Known:    make(chan struct{}),
 		clock:    clock,
 		log:      log,
 		pool:     p,
+		started:  clock.Now(),
 		balancer: b,
 		retries:  r,
 		suspects: quarantiner.NewSuspects(quarantiner.NewRegister()),
@@ -74,6 +81,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.awaitState(r.Context())
 	j := newJob(f, w, r)
 	if f.Closing() {
 		w.Header().Set("Connection", "close")
@@ -86,6 +94,29 @@
 	j.run()
 }
 
+// startPatience is how long a request waits for the first state of a process that has just started.
+const startPatience = 300 * timekeeper.Millis(1)
+
+// awaitState lets requests that come with the start of the process wait for the state that is on its way.
+func (f *Forwarder) awaitState(ctx context.Context) {
+	select {
+	case <-f.Known:
+		return
+	default:
+	}
+	left := f.started + startPatience - f.clock.Now()
+	if left <= 0 {
+		return
+	}
+	t := time.NewTimer(left.Duration())
+	defer t.Stop()
+	select {
+	case <-f.Known:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Forwarder) choose(v *cataloguer.View, q balancer.Query) (balancer.Choice, *model.Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/router/internal/forwarder/job.go
+++ b/router/internal/forwarder/job.go
@@ -21,7 +21,7 @@
 
 const (
 	defaultTimeout = timekeeper.Minute
-	startWait      = timekeeper.Second
+	startWait      = 500 * timekeeper.Millis(1)
 )
 
 // job is one request of a caller from its arrival to its end.
@@ -60,7 +60,7 @@
 // open finds what the request is and who sent it; it refuses what must not go on.
 func (j *job) open() *model.Refusal {
 	j.view = j.f.View()
-	if j.view == nil || j.view.Configuration == nil {
+	if j.view == nil {
 		return model.NewRefusal(model.CodeNotReady, "no configuration is known yet").WithRetryAfter(startWait)
 	}
 	facts, err := platform.DecodeFacts(j.r.Header)
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -20,7 +20,7 @@
 	if j.route != nil {
 		fields = append(fields, logger.String("route", j.route.Name), logger.String("account", j.account.ID))
 	}
-	if j.view != nil && j.view.Configuration != nil {
+	if j.view != nil {
 		fields = append(fields,
 			logger.Int("version", j.view.Configuration.Version),
 			logger.Int("view-age-ms", j.f.clock.Now()-j.view.ChangedAt))
--- a/router/internal/gateway/follow.go
+++ b/router/internal/gateway/follow.go
@@ -14,6 +14,8 @@
 const (
 	firstBackoff = 100 * timekeeper.Millis(1)
 	maxBackoff   = 600 * timekeeper.Millis(1)
+	// watchShare of the span of contact is left of it when a watch ends on a connection that fell silent.
+	watchShare = 3
 )
 
 // follow keeps one range up to date from the store: read once, then watched.
@@ -60,7 +62,7 @@
 	g.mu.Lock()
 	after := r.AsOf()
 	g.mu.Unlock()
-	events, asOf, err := g.store.Watch(ctx, prefix, after, g.settings.Contact/2)
+	events, asOf, err := g.store.Watch(ctx, prefix, after, g.settings.Contact+g.settings.Contact/watchShare)
 	if err != nil {
 		return err
 	}
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -36,7 +36,9 @@
 	forward  *forwarder.Forwarder
 	view     atomic.Pointer[cataloguer.View]
 	stopping atomic.Bool
-	peers    *peers
+	// known is closed with the first whole state.
+	known chan struct{}
+	peers *peers
 
 	mu        sync.Mutex
 	operator  *replicator.Replica
@@ -63,9 +65,11 @@
 		operator:  replicator.NewReplica(0),
 		endpoints: replicator.NewReplica(lapseBeats * s.Heartbeat),
 		listing:   newListing(),
+		known:     make(chan struct{}),
 	}
 	g.peers = newPeers(g)
 	g.forward.View = g.view.Load
+	g.forward.Known = g.known
 	g.forward.Closing = g.stopping.Load
 
 	return g
@@ -76,9 +80,8 @@
 	if g.stopping.Load() {
 		return false
 	}
-	v := g.view.Load()
 
-	return v != nil && v.Configuration != nil
+	return g.view.Load() != nil
 }
 
 // Run keeps the state until the context ends.
--- a/router/internal/gateway/listing.go
+++ b/router/internal/gateway/listing.go
@@ -28,12 +28,19 @@
 	return &listing{out: map[model.DomainID]bool{}, endpoints: map[string]decoded{}}
 }
 
-// rebuild brings the state of the replicas into force; the caller holds the lock.
+// rebuild brings the state of the replicas into force once both ranges are known; the caller holds the lock.
 func (g *Gateway) rebuild() {
 	g.decodeOperator()
 	endpoints := g.decodeEndpoints()
+	if g.listing.configuration == nil || !g.endpoints.Synced() {
+		return
+	}
 	revision := max(g.operator.Content(), g.endpoints.Content())
+	first := g.view.Load() == nil
 	g.view.Store(cataloguer.NewView(g.listing.configuration, g.listing.out, endpoints, revision, g.clock.Now()))
+	if first {
+		close(g.known)
+	}
 }
 
 func (g *Gateway) decodeOperator() {
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -26,7 +26,7 @@
 	tradeInterval = 250 * timekeeper.Millis(1)
 	tradeTimeout  = 600 * timekeeper.Millis(1)
 	// tradesAtOnce is the number of gateways asked in one interval.
-	tradesAtOnce = 3
+	tradesAtOnce = 1
 	// maxPlacements bounds the placements of one trade.
 	maxPlacements = 64
 )
@@ -131,7 +131,8 @@
 	ctx, cancel := context.WithTimeout(ctx, tradeTimeout.Duration())
 	defer cancel()
 	request := p.request()
-	next := p.addPlacements(address, request)
+	placements, next := p.placementsFor(address)
+	request.Placements = placements
 	response, err := p.clientOf(address).Trade(ctx, request)
 	p.note(address, err)
 	if err != nil {
@@ -139,6 +140,7 @@
 	}
 	p.told(address, next)
 	p.learn(response.News)
+	p.learnPlacements(response.Placements)
 	p.takeCopy(p.g.operator, "operator", response.Operator)
 	p.takeCopy(p.g.endpoints, "endpoints", response.Endpoints)
 }
@@ -184,27 +186,33 @@
 	}
 }
 
-// addPlacements puts what the other gateway has not been told into a request and returns where the next one begins.
-func (p *peers) addPlacements(address string, r *messenger.TradeRequest) uint64 {
+// placementsFor returns what another gateway has not been told, and the number of the next placement to tell.
+func (p *peers) placementsFor(address string) ([]*messenger.Placement, uint64) {
 	p.mu.Lock()
-	from := p.known[address].told
+	from := uint64(0)
+	if k, ok := p.known[address]; ok {
+		from = k.told
+	}
 	p.mu.Unlock()
 	var fresh []locator.Placement
 	next := from
 	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
 		fresh, next = b.Journal.Since(from, maxPlacements)
 	})
+	placements := make([]*messenger.Placement, 0, len(fresh))
 	for _, f := range fresh {
-		r.Placements = append(r.Placements, &messenger.Placement{Part: f.Part, Endpoint: string(f.Endpoint)})
+		placements = append(placements, &messenger.Placement{Part: f.Part, Endpoint: string(f.Endpoint)})
 	}
 
-	return next
+	return placements, next
 }
 
 func (p *peers) told(address string, next uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.known[address].told = next
+	if k, ok := p.known[address]; ok {
+		k.told = max(k.told, next)
+	}
 }
 
 func (p *peers) learnPlacements(told []*messenger.Placement) {
@@ -279,13 +287,16 @@
 func (p *peers) Trade(_ context.Context, r *messenger.TradeRequest) (*messenger.TradeResponse, error) {
 	p.learn(r.News)
 	p.learnPlacements(r.Placements)
+	placements, next := p.placementsFor(r.News.GetAddress())
+	p.told(r.News.GetAddress(), next)
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
 
 	return &messenger.TradeResponse{
-		News:      p.news(),
-		Operator:  copyFor(r.Operator, p.g.operator),
-		Endpoints: copyFor(r.Endpoints, p.g.endpoints),
+		News:       p.news(),
+		Operator:   copyFor(r.Operator, p.g.operator),
+		Endpoints:  copyFor(r.Endpoints, p.g.endpoints),
+		Placements: placements,
 	}, nil
 }
 
--- a/router/internal/gateway/serve.go
+++ b/router/internal/gateway/serve.go
@@ -77,7 +77,7 @@
 }
 
 func (g *Gateway) limits() cataloguer.Limits {
-	if v := g.view.Load(); v != nil && v.Configuration != nil {
+	if v := g.view.Load(); v != nil {
 		return v.Configuration.Limits
 	}
 
