--- a/experimenter/internal/launcher/process.go
+++ b/experimenter/internal/launcher/process.go
@@ -53,14 +53,18 @@
 	if err := p.command.Start(); err != nil {
 		return nil, fmt.Errorf("launcher: %s: %w", filepath.Base(program), err)
 	}
-	go p.read(out)
+	go p.read(out, errs)
 
 	return p, p.await(purposes)
 }
 
-func (p *Process) read(out io.Reader) {
+// read notes the addresses that the process prints and copies its output to logs.
+func (p *Process) read(out io.Reader, logs io.Writer) {
 	scanner := bufio.NewScanner(out)
 	for scanner.Scan() {
+		if logs != nil {
+			_, _ = fmt.Fprintln(logs, scanner.Text())
+		}
 		words := strings.Fields(scanner.Text())
 		if len(words) == 3 && words[0] == "listening" {
 			p.mu.Lock()
--- a/router/internal/gateway/settings.go
+++ b/router/internal/gateway/settings.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+
 	"cardamompulley/fleet/loader"
 	"cardamompulley/fleet/timekeeper"
 )
@@ -104,11 +106,11 @@
 
 func figureOptions(s *Settings) []loader.Option {
 	return []loader.Option{
-		{Name: "retry-ratio", Target: &s.RetryRatio, Default: "0.1", Meaning: "Retries allowed for each request of a service, over all gateways."},
-		{Name: "retry-slack", Target: &s.RetrySlack, Default: "0", Meaning: "Retries allowed in a window beside the ratio, over all gateways."},
-		{Name: "cold-overshoot", Target: &s.ColdOvershoot, Default: "1", Meaning: "Multiple of a service's rate for cold endpoints that is never passed."},
-		{Name: "cold-slack", Target: &s.ColdSlack, Default: "0", Meaning: "Requests in a second allowed beside that multiple."},
-		{Name: "load-multiple", Target: &s.LoadMultiple, Default: "2", Meaning: "Largest multiple of the mean load of a service."},
+		{Name: "retry-ratio", Target: &s.RetryRatio, Default: "0.1", Check: atLeast(&s.RetryRatio, 0), Meaning: "Retries allowed for each request of a service, over all gateways."},
+		{Name: "retry-slack", Target: &s.RetrySlack, Default: "0", Check: atLeast(&s.RetrySlack, 0), Meaning: "Retries allowed in a window beside the ratio, over all gateways."},
+		{Name: "cold-overshoot", Target: &s.ColdOvershoot, Default: "1", Check: atLeast(&s.ColdOvershoot, 0), Meaning: "Multiple of a service's rate for cold endpoints that is never passed."},
+		{Name: "cold-slack", Target: &s.ColdSlack, Default: "0", Check: atLeast(&s.ColdSlack, 0), Meaning: "Requests in a second allowed beside that multiple."},
+		{Name: "load-multiple", Target: &s.LoadMultiple, Default: "2", Check: atLeast(&s.LoadMultiple, 1), Meaning: "Largest multiple of the mean load of a service."},
 		{
 			Name: "memory-mb", Target: &s.MemoryMB, Default: "256", Unit: "MB", Bound: "16 to 1048576",
 			Check: loader.Range(&s.MemoryMB, 16, maxMemory), Meaning: "Memory that this process may take.",
@@ -123,3 +125,14 @@
 		},
 	}
 }
+
+// atLeast checks that a figure is not below a bound.
+func atLeast(f *float64, least float64) func() error {
+	return func() error {
+		if *f < least {
+			return fmt.Errorf("%w: must be at least %g", loader.ErrOutOfRange, least)
+		}
+
+		return nil
+	}
+}
--- /dev/null
+++ b/router/internal/gateway/settings_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"cardamompulley/fleet/loader"
+)
+
+func TestOptionsMatchThePage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewSettings()
+	for _, o := range Options(&s) {
+		if !strings.Contains(string(page), o.Row()) {
+			t.Errorf("docs/CONFIGURATION.md lacks: %s", o.Row())
+		}
+	}
+}
+
+const goodSettings = `{"process": "g", "domain": "d", "listen": "127.0.0.1:0", "ready-listen": "127.0.0.1:0",
+ "peer-listen": "127.0.0.1:0", "metrics-listen": "127.0.0.1:0", "store-address": "127.0.0.1:1", `
+
+func TestSettingsAreChecked(t *testing.T) {
+	cases := []struct {
+		more string
+		good bool
+	}{
+		{`"seeds": ["127.0.0.1:2"], "load-multiple": 1.5}`, true},
+		{`"seeds": null}`, true},
+		{`"load-multiple": 0.5}`, false},
+		{`"retry-ratio": -1}`, false},
+		{`"memory-mb": 1}`, false},
+		{`"contact-ms": 0}`, false},
+		{`"listen": "somewhere"}`, false},
+		{`"unknown": 1}`, false},
+	}
+	for _, c := range cases {
+		s := NewSettings()
+		err := loader.Load("test", []byte(goodSettings+c.more), Options(&s))
+		if c.good != (err == nil) || (err != nil && !errors.Is(err, loader.ErrSettings)) {
+			t.Errorf("%s: %v", c.more, err)
+		}
+	}
+}
