A watch that hears nothing is given up within the span of contact

Ruled out: probes of the connection, which the store's VM answers. Before: a test with a deaf watch fails after 3 s; after: it passes.

--- a/experimenter/internal/launcher/gateway_test.go
+++ b/experimenter/internal/launcher/gateway_test.go
@@ -370,6 +370,21 @@
 	}
 }
 
+// A watch that never ends and hears nothing is given up within the span of contact.
+func TestGatewayNoticesADeafWatch(t *testing.T) {
+	const contact = 3 * time.Second
+	f := launchGateways(t, func(s *launcher.GatewaySpec) {
+		s.Gateways, s.Settings = 1, map[string]any{"contact-ms": contact.Milliseconds()}
+	})
+	must(t, f.StoreFaults(`{"deaf": true}`))
+	must(t, f.Configure(func(c map[string]any) { c["tenants"] = []any{} }))
+	must(t, tellCompact(f))
+	must(t, f.StoreFaults(`{}`))
+	eventually(t, "the revoked key is refused", contact, func() bool {
+		return newCall(f.Gateways[0], http.MethodGet, lookups).get(t).status == http.StatusUnauthorized
+	})
+}
+
 // A request that comes with the start of a gateway waits for the configuration that is on its way.
 func TestGatewayHoldsRequestsAtItsStart(t *testing.T) {
 	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways = 0 })
--- a/router/internal/gateway/follow.go
+++ b/router/internal/gateway/follow.go
@@ -14,8 +14,9 @@
 const (
 	firstBackoff = 100 * timekeeper.Millis(1)
 	maxBackoff   = 600 * timekeeper.Millis(1)
-	// watchShare of the span of contact is left of it when a watch ends on a connection that fell silent.
-	watchShare = 3
+	// watchShare is the part of the span of contact that a watch waits: one that hears nothing must be found, and its
+	// range read anew, before the span is over.
+	watchShare = 0.6
 )
 
 // follow keeps one range up to date from the store: read once, then watched.
@@ -62,7 +63,7 @@
 	g.mu.Lock()
 	after := r.AsOf()
 	g.mu.Unlock()
-	events, asOf, err := g.store.Watch(ctx, prefix, after, g.settings.Contact+g.settings.Contact/watchShare)
+	events, asOf, err := g.store.Watch(ctx, prefix, after, timekeeper.Millis(watchShare*float64(g.settings.Contact)))
 	if err != nil {
 		return err
 	}
--- a/standin/internal/storekeeper/store.go
+++ b/standin/internal/storekeeper/store.go
@@ -30,6 +30,8 @@
 	Status int `json:"status"`
 	// Silent leaves every reader without an answer.
 	Silent bool `json:"silent"`
+	// Deaf keeps the watches that wait, and those that begin, from hearing anything until their time is over.
+	Deaf bool `json:"deaf"`
 	// Reset breaks every reader's connection.
 	Reset bool `json:"reset"`
 }
@@ -124,7 +126,16 @@
 	after, _ := strconv.ParseUint(q.Get("start-after"), 10, 64)
 	wait, _ := strconv.ParseInt(q.Get("wait-ms"), 10, 64)
 	deadline := time.After(timekeeper.Millis(wait).Duration())
+	deaf := false
 	for {
+		s.mu.Lock()
+		deaf = deaf || s.faults.Deaf
+		s.mu.Unlock()
+		if deaf {
+			<-r.Context().Done()
+
+			return
+		}
 		p, gone, changed := s.since(q.Get("prefix"), after)
 		if gone {
 			w.WriteHeader(http.StatusGone)
@@ -199,6 +210,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *Store) put(w http.ResponseWriter, r *http.Request) {
