--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -21,8 +21,6 @@
 	rememberedSessions = 20_000
 	// sessionLifetime is how long a cached prompt is expected to stay with its endpoint.
 	sessionLifetime = timekeeper.Minute
-	// copyBytes is the traffic between failure domains that costs as much as fetching one cached token.
-	copyBytes = 8
 	// settled is the age of an endpoint after which its sessions are expected to have reached it.
 	settled = 20 * timekeeper.Second
 )
@@ -53,8 +51,6 @@
 	Session uint64
 	// Shared are the parts of the prompt that endpoints may have cached, in order; the last is the session.
 	Shared []model.PromptPart
-	// Bytes is the expected size of the request and its answer.
-	Bytes int64
 	// Tried are the endpoints that have failed this request.
 	Tried []model.EndpointID
 }
@@ -204,10 +200,7 @@
 			WithRetryAfter(wait)
 	}
 	if service.Engine && q.Session != 0 {
-		c := b.bySession(b.nearFirst(candidates, q), b.meanLoad(known, now))
-		if c.Endpoint.Domain != b.domain {
-			b.located.AddRemote(q.Session, q.Bytes)
-		}
+		c := b.bySession(candidates, b.meanLoad(known, now))
 		c.Source = b.source(v, known, q, c.Endpoint, now)
 		for _, p := range q.Shared {
 			if b.located.Note(p.ID, c.Endpoint.ID, now) {
@@ -331,29 +324,6 @@
 	return false
 }
 
-// nearFirst leaves only endpoints of the own failure domain for a session whose traffic with others has come to cost as
-// much as a copy of its cached prompt here; the session's order among them is its own.
-func (b *Balancer) nearFirst(cs []candidate, q Query) []candidate {
-	tokens := int64(0)
-	for _, p := range q.Shared {
-		tokens += int64(p.Tokens)
-	}
-	if b.located.Remote(q.Session) < tokens*copyBytes {
-		return cs
-	}
-	near := make([]candidate, 0, len(cs))
-	for _, c := range cs {
-		if c.endpoint.Domain == b.domain {
-			near = append(near, c)
-		}
-	}
-	if len(near) == 0 {
-		return cs
-	}
-
-	return near
-}
-
 // bySession takes the first endpoint in the session's own order whose load is within the bound.
 func (b *Balancer) bySession(cs []candidate, average float64) Choice {
 	limit := int(b.terms.LoadMultiple*average) + loadFloor
--- a/fleet/model/facts.go
+++ b/fleet/model/facts.go
@@ -49,12 +49,3 @@
 		return f.Prompt[n-2].ID
 	}
 }
-
-// ExpectedOutput returns the caller's estimate of the output, or the maximum when there is none.
-func (f *Facts) ExpectedOutput() Tokens {
-	if f.OutputHint > 0 {
-		return f.OutputHint
-	}
-
-	return f.OutputTokens
-}
--- a/router/internal/forwarder/job.go
+++ b/router/internal/forwarder/job.go
@@ -21,8 +21,6 @@
 
 const (
 	defaultTimeout = timekeeper.Minute
-	// tokenBytes is the size of a generated token on the wire, with its part of the frames around it.
-	tokenBytes = 20
 	startWait      = 500 * timekeeper.Millis(1)
 )
 
@@ -218,13 +216,7 @@
 }
 
 func (j *job) query() balancer.Query {
-	return balancer.Query{
-		Service: j.service,
-		Session: j.facts.Session(),
-		Shared:  j.facts.Shared(),
-		Bytes:   int64(len(j.body)) + tokenBytes*int64(j.facts.ExpectedOutput()),
-		Tried:   j.tried,
-	}
+	return balancer.Query{Service: j.service, Session: j.facts.Session(), Shared: j.facts.Shared(), Tried: j.tried}
 }
 
 // goOn decides whether the request may be sent to another endpoint.
