--- a/experimenter/internal/bencher/bencher.go
+++ b/experimenter/internal/bencher/bencher.go
@@ -31,6 +31,9 @@
 	method string
 	body   string
 	stream bool
+	// headers are set beside the usual ones; host replaces that of the URL.
+	headers map[string]string
+	host    string
 }
 
 // sample is one answered request.
@@ -49,14 +52,14 @@
 		workers int
 		rate    int
 	}{
-		{target{"lookup, direct", plain + "/lookup/lane-7", fasthttp.MethodGet, "", false}, closedWorkers, 0},
-		{target{"lookup, routed", router + lookupPath, fasthttp.MethodGet, "", false}, closedWorkers, 0},
-		{target{"short chat, direct", engine + chat, fasthttp.MethodPost, shortBody, false}, closedWorkers, 0},
-		{target{"short chat, routed", router + chat, fasthttp.MethodPost, shortBody, false}, closedWorkers, 0},
-		{target{"paced stream, direct", engine + chat, fasthttp.MethodPost, streamBody, true}, pacedWorkers, pacedRate},
-		{target{"paced stream, routed", router + chat, fasthttp.MethodPost, streamBody, true}, pacedWorkers, pacedRate},
+		{target{"lookup, direct", plain + "/lookup/lane-7", fasthttp.MethodGet, "", false, nil, ""}, closedWorkers, 0},
+		{target{"lookup, routed", router + lookupPath, fasthttp.MethodGet, "", false, nil, ""}, closedWorkers, 0},
+		{target{"short chat, direct", engine + chat, fasthttp.MethodPost, shortBody, false, nil, ""}, closedWorkers, 0},
+		{target{"short chat, routed", router + chat, fasthttp.MethodPost, shortBody, false, nil, ""}, closedWorkers, 0},
+		{target{"paced stream, direct", engine + chat, fasthttp.MethodPost, streamBody, true, nil, ""}, pacedWorkers, pacedRate},
+		{target{"paced stream, routed", router + chat, fasthttp.MethodPost, streamBody, true, nil, ""}, pacedWorkers, pacedRate},
 	}
-	fmt.Fprintf(out, "%-28s %10s %8s %10s %10s %10s %10s\n", "way", "requests/s", "failed", "first p50", "first p99", "whole p50", "whole p99")
+	printHead(out)
 	for _, r := range rows {
 		samples, failed := load(r.target, r.workers, r.rate)
 		print(out, r.target.name, samples, failed)
@@ -65,6 +68,10 @@
 	return nil
 }
 
+func printHead(out io.Writer) {
+	fmt.Fprintf(out, "%-28s %10s %8s %10s %10s %10s %10s\n", "way", "requests/s", "failed", "first p50", "first p99", "whole p50", "whole p99")
+}
+
 // load keeps a number of requests in flight for the span, or starts them at a rate a second when one is given.
 func load(t target, workers, rate int) ([]sample, int) {
 	var mu sync.Mutex
@@ -110,6 +117,13 @@
 	request.Header.Set("Authorization", "Bearer "+launcher.CallerToken)
 	request.Header.SetContentType("application/json")
 	request.SetBodyString(t.body)
+	for name, value := range t.headers {
+		request.Header.Set(name, value)
+	}
+	if t.host != "" {
+		request.UseHostHeader = true
+		request.Header.SetHost(t.host)
+	}
 	start := time.Now()
 	if err := client.Do(request, response); err != nil || response.StatusCode() != fasthttp.StatusOK {
 		return sample{}, false
--- a/experimenter/internal/cli/bench.go
+++ b/experimenter/internal/cli/bench.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -44,7 +45,7 @@
 		return subcommands.ExitFailure
 	}
 	defer fleet.Kill()
-	if err := bencher.Run(b.out, fleet); err != nil {
+	if err := errors.Join(bencher.Run(b.out, fleet), b.gateways()); err != nil {
 		fmt.Fprintln(b.errs, err)
 
 		return subcommands.ExitFailure
@@ -52,3 +53,17 @@
 
 	return subcommands.ExitSuccess
 }
+
+// gateways launches one gateway before the platform's stand-ins, and loads it.
+func (b *benchCommand) gateways() error {
+	const events, gap = 40, 20
+	fleet, err := launcher.LaunchGateways(launcher.GatewaySpec{
+		Programs: programs(), Gateways: 1, Engines: 1, Plains: 1, Events: events, Gap: gap, Logs: io.Discard,
+	})
+	if err != nil {
+		return err
+	}
+	defer fleet.Kill()
+
+	return bencher.RunGateways(b.out, fleet)
+}
--- a/experimenter/internal/cli/demo.go
+++ b/experimenter/internal/cli/demo.go
@@ -63,11 +63,30 @@
 	if err := fleet.Stop(); err != nil {
 		return err
 	}
+	if err := d.runGateways(spec.Logs); err != nil {
+		return err
+	}
 	fmt.Fprintln(d.out, "all processes stopped cleanly")
 
 	return nil
 }
 
+// runGateways shows the front of the group's platform on its stand-ins.
+func (d *demoCommand) runGateways(logs io.Writer) error {
+	fleet, err := launcher.LaunchGateways(launcher.DemoGateways(programs(), logs))
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(d.out, "gateways: 2 gateways, 3 model engines, 2 plain services, 1 store, as separate processes")
+	if err := demonstrator.NewGatewayDemonstrator(d.out, fleet).Run(); err != nil {
+		fleet.Kill()
+
+		return err
+	}
+
+	return fleet.Stop()
+}
+
 func (d *demoCommand) hold(fleet *launcher.Fleet) {
 	ctx, stop := runner.Signals()
 	defer stop()
--- a/experimenter/internal/demonstrator/demonstrator_test.go
+++ b/experimenter/internal/demonstrator/demonstrator_test.go
@@ -23,3 +23,17 @@
 		t.Fatal(err)
 	}
 }
+
+func TestGatewayDemo(t *testing.T) {
+	f, err := launcher.LaunchGateways(launcher.DemoGateways(os.Getenv("CARDAMOMPULLEY_BIN"), io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Kill)
+	if err := NewGatewayDemonstrator(io.Discard, f).Run(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Stop(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/experimenter/internal/launcher/gateway.go
+++ b/experimenter/internal/launcher/gateway.go
@@ -36,6 +36,14 @@
 	GatewayAccount = "demo-account"
 )
 
+// DemoEvents is the number of events of a stream in the demo.
+const DemoEvents = 20
+
+// DemoGateways is what the demo starts before the platform's stand-ins.
+func DemoGateways(programs string, logs io.Writer) GatewaySpec {
+	return GatewaySpec{Programs: programs, Gateways: 2, Engines: 3, Plains: 2, Events: DemoEvents, Gap: 5, Logs: logs}
+}
+
 // GatewayFleet is a store, endpoints and gateways, each a process.
 type GatewayFleet struct {
 	Store     *Process
@@ -305,6 +313,17 @@
 	return count, nil
 }
 
+// Stop asks every gateway to end, then ends the stand-ins.
+func (f *GatewayFleet) Stop() error {
+	defer f.Kill()
+	var faults []error
+	for _, g := range f.Gateways {
+		faults = append(faults, g.Stop())
+	}
+
+	return errors.Join(faults...)
+}
+
 // Kill ends every process at once.
 func (f *GatewayFleet) Kill() {
 	all := append([]*Process{f.Store}, f.Gateways...)
--- a/experimenter/internal/launcher/process.go
+++ b/experimenter/internal/launcher/process.go
@@ -113,6 +113,11 @@
 	return p.addresses[purpose]
 }
 
+// ID returns the process id.
+func (p *Process) ID() int {
+	return p.command.Process.Pid
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error {
 	if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
