--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 
 	"connectrpc.com/connect"
@@ -29,6 +28,8 @@
 	tradesAtOnce = 1
 	// maxPlacements bounds the placements of one trade.
 	maxPlacements = 64
+	// maxNames bounds the gateways named in one trade; each trade names the next ones.
+	maxNames = 16
 )
 
 // peers knows the other gateways and trades with them; a gateway once known counts for shares as long as this process lives.
@@ -40,6 +41,7 @@
 	known   map[string]*peer
 	order   []string
 	next    int
+	named   int
 	clients map[string]messengerconnect.GatewayClient
 }
 
@@ -225,7 +227,7 @@
 		news.StoreSilenceMs = int64(p.g.clock.Now() - heard)
 	}
 	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
-		news.Gateways = slices.Clone(b.Roster.Known())
+		news.Gateways = p.nextNames(b.Roster.Known())
 		for id, n := range b.Running() {
 			news.Uses = append(news.Uses, &messenger.EndpointUse{Endpoint: string(id), Running: uint32(n)})
 		}
@@ -241,6 +243,19 @@
 	return news
 }
 
+// nextNames returns the part of the known gateways whose turn it is.
+func (p *peers) nextNames(known []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := make([]string, 0, maxNames)
+	for range min(maxNames, len(known)) {
+		names = append(names, known[p.named%len(known)])
+		p.named++
+	}
+
+	return names
+}
+
 // learn takes what another gateway says of itself.
 func (p *peers) learn(news *messenger.GatewayNews) {
 	if news == nil || news.Address == p.g.settings.PeerListen {
