--- a/experimenter/internal/sloper/slope.go
+++ b/experimenter/internal/sloper/slope.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cardamompulley/fleet/configurator"
+	"cardamompulley/fleet/counter"
 	"cardamompulley/fleet/deduplicator"
 	"cardamompulley/fleet/exchanger"
 	"cardamompulley/fleet/follower"
@@ -210,9 +211,9 @@
 	server := runner.NewServer(mux)
 	go func() { _ = runner.Serve(server, l) }()
 	defer server.Close()
-	var counter follower.Counter
+	var control counter.Counter
 	client := messengerconnect.NewPeerClient(
-		&http.Client{Transport: &http.Transport{DialContext: counter.Dial, DisableKeepAlives: true}},
+		&http.Client{Transport: &http.Transport{DialContext: control.Dial, DisableKeepAlives: true}},
 		"http://"+l.Addr().String(), follower.PeerClientOptions("token")...)
 	start := time.Now()
 	for range exchanges {
@@ -224,7 +225,7 @@
 		}
 	}
 
-	return float64(counter.Total()) / exchanges, float64(time.Since(start).Nanoseconds()) / exchanges, nil
+	return float64(control.Total()) / exchanges, float64(time.Since(start).Nanoseconds()) / exchanges, nil
 }
 
 func accountMemory() (Slope, error) {
--- a/fleet/follower/counter.go
+++ b/fleet/counter/counter.go
@@ -1,4 +1,4 @@
-package follower
+package counter
 
 import (
 	"context"
--- /dev/null
+++ b/fleet/counter/doc.go
@@ -0,0 +1,2 @@
+// Package counter counts the bytes of connections.
+package counter
--- a/fleet/follower/follower.go
+++ b/fleet/follower/follower.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"cardamompulley/fleet/configurator"
+	"cardamompulley/fleet/counter"
 	"cardamompulley/fleet/exchanger"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
@@ -39,7 +40,7 @@
 type Follower struct {
 	Clock   timekeeper.Clock
 	Log     logger.Logger
-	Control Counter
+	Control counter.Counter
 	// OnSnapshot is called with each configuration that comes into force.
 	OnSnapshot func(*configurator.Snapshot)
 
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"cardamompulley/fleet/balancer"
 	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/counter"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/replicator"
@@ -39,6 +40,8 @@
 	// known is closed with the first whole state.
 	known chan struct{}
 	peers *peers
+	// control counts the bytes between gateways.
+	control counter.Counter
 
 	mu        sync.Mutex
 	operator  *replicator.Replica
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 
@@ -54,10 +53,9 @@
 }
 
 func newPeers(g *Gateway) *peers {
-	dialer := &net.Dialer{Timeout: tradeTimeout.Duration()}
 	p := &peers{
 		g:       g,
-		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}},
+		client:  &http.Client{Transport: &http.Transport{DialContext: g.control.Dial, MaxIdleConnsPerHost: 1}},
 		known:   map[string]*peer{},
 		clients: map[string]messengerconnect.GatewayClient{},
 	}
--- a/router/internal/gateway/serve.go
+++ b/router/internal/gateway/serve.go
@@ -118,6 +118,7 @@
 
 // servers returns what answers at each listener.
 func (g *Gateway) servers(d *doors) map[string]func(net.Listener) error {
+	trades := &http.Server{Handler: g.peers.handler(), ReadHeaderTimeout: pageTimeout.Duration()}
 	plain := func(h http.Handler) func(net.Listener) error {
 		server := &http.Server{Handler: h, ReadHeaderTimeout: pageTimeout.Duration()}
 
@@ -127,8 +128,8 @@
 	return map[string]func(net.Listener) error{
 		purposeCallers: d.serve,
 		purposeReady:   plain(readyHandler(g.Ready)),
-		purposePeer:    plain(g.peers.handler()),
-		purposeMetrics: plain(metricsHandler()),
+		purposePeer:    func(l net.Listener) error { return trades.Serve(g.control.Listener(l)) },
+		purposeMetrics: plain(g.metricsHandler()),
 	}
 }
 
