--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -30,6 +30,7 @@
 
 // The reasons of a choice.
 const (
+	ReasonNear    Reason = "near-holder"
 	ReasonSession Reason = "session"
 	ReasonSpill   Reason = "spill"
 	ReasonLoad    Reason = "load"
@@ -202,7 +203,7 @@
 			WithRetryAfter(wait)
 	}
 	if service.Engine && q.Session != 0 {
-		c := b.bySession(candidates, b.meanLoad(known, now))
+		c := b.bySession(candidates, q, b.meanLoad(known, now), now)
 		c.Source = b.source(v, known, q, c.Endpoint, now)
 		for _, p := range q.Shared {
 			if b.located.Note(p.ID, c.Endpoint.ID, now) {
@@ -326,31 +327,45 @@
 	return false
 }
 
-// bySession takes the first endpoint in the session's own order whose load is within the bound.
-func (b *Balancer) bySession(cs []candidate, average float64) Choice {
+// bySession takes, of the endpoints within the load bound: one of the own failure domain that holds the session, else the
+// first in the session's own order; if that one is over the bound, another holder, else a near endpoint.
+func (b *Balancer) bySession(cs []candidate, q Query, average float64, now timekeeper.Millis) Choice {
 	limit := int(b.terms.LoadMultiple*average) + loadFloor
-	best := -1
-	head := 0
-	for i := range cs {
-		if cs[i].score > cs[head].score {
-			head = i
-		}
-		if cs[i].load >= limit {
-			continue
-		}
-		if best < 0 || cs[i].score > cs[best].score {
-			best = i
-		}
+	holders := b.located.Holders(q.Session, now)
+	head := first(cs, func(*candidate) bool { return true })
+	under := func(c *candidate) bool { return c.load < limit }
+	near := func(c *candidate) bool { return under(c) && c.endpoint.Domain == b.domain }
+	holds := func(c *candidate) bool { return under(c) && contains(holders, c.endpoint.ID) }
+	choices := []struct {
+		reason Reason
+		fits   func(*candidate) bool
+	}{
+		{ReasonNear, func(c *candidate) bool { return near(c) && holds(c) }},
+		{ReasonSession, func(c *candidate) bool { return under(c) && c == head }},
+		{ReasonSpill, holds},
+		{ReasonSpill, near},
+		{ReasonSpill, under},
 	}
-	if best < 0 {
-		return b.byLoad(cs, average)
+	for _, x := range choices {
+		if c := first(cs, x.fits); c != nil {
+			return Choice{Endpoint: c.endpoint, Reason: x.reason, Load: c.load, Mean: average}
+		}
 	}
-	reason := ReasonSession
-	if best != head {
-		reason = ReasonSpill
+
+	return b.byLoad(cs, average)
+}
+
+// first returns the candidate that comes first in the session's order among those that fit, or nil.
+func first(cs []candidate, fits func(*candidate) bool) *candidate {
+	var best *candidate
+	for i := range cs {
+		c := &cs[i]
+		if (best == nil || c.score > best.score) && fits(c) {
+			best = c
+		}
 	}
 
-	return Choice{Endpoint: cs[best].endpoint, Reason: reason, Load: cs[best].load, Mean: average}
+	return best
 }
 
 // byLoad takes the least loaded endpoint, of the own failure domain where that costs no slot.
