--- a/fleet/balancer/balancer_test.go
+++ b/fleet/balancer/balancer_test.go
@@ -110,3 +110,57 @@
 		t.Fatalf("%d requests in a second, the share is 3", sent)
 	}
 }
+
+const testSession = 11
+
+func sessionQuery() Query {
+	return Query{Service: testService, Session: testSession, Shared: []model.PromptPart{{ID: 1, Tokens: 500}, {ID: testSession, Tokens: 9000}}}
+}
+
+// fill starts requests at an endpoint until it is over the bound.
+func fill(b *Balancer, id model.EndpointID) {
+	for range 20 {
+		b.Start(id, 0)
+	}
+}
+
+// A session that spills goes to another holder, else to a near endpoint, and its prompt is fetched from the first one.
+func TestSessionSpillsToHoldersThenNear(t *testing.T) {
+	v := world(2, 4)
+	b := newTestBalancer()
+	q := sessionQuery()
+	home, _ := b.Choose(v, q, 0)
+	if home.Source != nil {
+		t.Fatalf("a new session is fetched from %s", home.Source.ID)
+	}
+	fill(b, home.Endpoint.ID)
+	near, _ := b.Choose(v, q, 1)
+	if near.Endpoint == home.Endpoint || near.Endpoint.Domain != "d-0" || near.Source != home.Endpoint {
+		t.Fatalf("spilled to %s, fetched from %v", near.Endpoint.ID, near.Source)
+	}
+	again, _ := b.Choose(v, q, 2)
+	if again.Endpoint != near.Endpoint || again.Source != nil {
+		t.Fatalf("then went to %s, not to the holder %s", again.Endpoint.ID, near.Endpoint.ID)
+	}
+}
+
+// What another gateway has placed is fetched from there.
+func TestPlacementsOfOtherGatewaysAreSources(t *testing.T) {
+	v := world(2, 4)
+	first, second := newTestBalancer(), newTestBalancer()
+	q := sessionQuery()
+	home, _ := first.Choose(v, q, 0)
+	fill(first, home.Endpoint.ID)
+	spilled, _ := first.Choose(v, q, 1)
+	told, next := first.Journal.Since(0, 100)
+	if len(told) != 4 || next != 4 {
+		t.Fatalf("%d placements are told up to %d", len(told), next)
+	}
+	second.Learn(told, 2)
+	second.Fail(home.Endpoint.ID, 2)
+	fill(second, spilled.Endpoint.ID)
+	c, _ := second.Choose(v, q, 3)
+	if c.Source == nil || c.Source.ID != spilled.Endpoint.ID {
+		t.Fatalf("fetched from %v, not from %s", c.Source, spilled.Endpoint.ID)
+	}
+}
