--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -62,6 +62,8 @@
 	Reason   Reason
 	Load     int
 	Mean     float64
+	// Reads is true when the endpoint is not known to hold the session's prompt, so that this request has it read.
+	Reads bool
 	// Source is an endpoint that seems to hold the session's prompt which the chosen one lacks, or nil.
 	Source *cataloguer.Endpoint
 }
@@ -204,6 +206,7 @@
 	}
 	if service.Engine && q.Session != 0 {
 		c := b.bySession(candidates, q, b.meanLoad(known, now), now)
+		c.Reads = !contains(b.located.Holders(q.Session, now), c.Endpoint.ID)
 		c.Source = b.source(v, known, q, c.Endpoint, now)
 		for _, p := range q.Shared {
 			if b.located.Note(p.ID, c.Endpoint.ID, now) {
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -42,6 +42,7 @@
 	log     logger.Logger
 	pool    *connector.Pool
 	started timekeeper.Millis
+	reads   *reads
 
 	mu       sync.Mutex
 	balancer *balancer.Balancer
@@ -59,6 +60,7 @@
 		log:      log,
 		pool:     p,
 		started:  clock.Now(),
+		reads:    newReads(),
 		balancer: b,
 		retries:  r,
 		suspects: quarantiner.NewSuspects(quarantiner.NewRegister()),
--- a/router/internal/forwarder/job.go
+++ b/router/internal/forwarder/job.go
@@ -22,6 +22,8 @@
 const (
 	defaultTimeout = timekeeper.Minute
 	startWait      = 500 * timekeeper.Millis(1)
+	// readShare divides the time left into what a request waits while its prompt is read for another one.
+	readShare = 8
 )
 
 // job is one request of a caller from its arrival to its end.
@@ -49,12 +51,14 @@
 	tried    []model.EndpointID
 	choice   balancer.Choice
 	stream   stream
+	// read tells others that wait for the same prompt to go on.
+	read func()
 	// fingerprint is the same for all attempts of a caller at one request.
 	fingerprint model.Fingerprint
 }
 
 func newJob(f *Forwarder, w http.ResponseWriter, r *http.Request) *job {
-	return &job{f: f, w: w, r: r, arrived: f.clock.Now(), cancel: func() {}}
+	return &job{f: f, w: w, r: r, arrived: f.clock.Now(), cancel: func() {}, read: func() {}}
 }
 
 // open finds what the request is and who sent it; it refuses what must not go on.
@@ -211,10 +215,28 @@
 // try makes one attempt and gives its place at the endpoint back, also when the caller's connection is aborted.
 func (j *job) try() *failure {
 	defer j.f.finish(j.choice.Endpoint.ID)
+	j.shareRead()
+	defer func() { j.read() }()
 
 	return j.attempt()
 }
 
+// shareRead has the session's prompt read for others too, or waits until it has been read for another request.
+func (j *job) shareRead() {
+	session := j.facts.Session()
+	if session == 0 {
+		return
+	}
+	k := readKey{endpoint: j.choice.Endpoint.ID, session: session}
+	j.read = func() {}
+	if j.choice.Reads {
+		j.read = j.f.reads.begin(k)
+
+		return
+	}
+	j.f.reads.wait(j.ctx, k, j.left()/readShare)
+}
+
 func (j *job) query() balancer.Query {
 	return balancer.Query{Service: j.service, Session: j.facts.Session(), Shared: j.facts.Shared(), Tried: j.tried}
 }
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -110,6 +110,7 @@
 
 func (j *job) startStream(response *http.Response) {
 	j.stream.started = true
+	j.read()
 	firstLatency.Update(float64(j.f.clock.Now()-j.arrived) / 1000)
 	j.writeHead(response.StatusCode, outgoing(response.Header), -1)
 }
