Blocked endpoints are probed aside and not with callers' requests

Change: the gateway connects to blocked endpoints itself; a request goes there only when nothing else is left.

--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -158,7 +158,6 @@
 func (b *Balancer) Start(id model.EndpointID, now timekeeper.Millis) {
 	m := b.member(id)
 	m.running++
-	m.breaker.Start(now)
 	b.colds.Sent(id, now)
 }
 
@@ -178,6 +177,19 @@
 	b.member(id).breaker.Fail(now)
 }
 
+// Due returns blocked endpoints that are to be probed now; each stays blocked until Succeed, and Fail ends the probe.
+func (b *Balancer) Due(v *cataloguer.View, now timekeeper.Millis) []*cataloguer.Endpoint {
+	var due []*cataloguer.Endpoint
+	for id, m := range b.members {
+		if e := v.Endpoint(id); e != nil && m.breaker.Due(now) {
+			m.breaker.Start(now)
+			due = append(due, e)
+		}
+	}
+
+	return due
+}
+
 // Keep forgets endpoints that are neither known nor in use.
 func (b *Balancer) Keep(known func(model.EndpointID) bool) {
 	for id, m := range b.members {
@@ -243,7 +255,7 @@
 
 func (b *Balancer) firstReachable(v *cataloguer.View, ids []model.EndpointID, now timekeeper.Millis) *cataloguer.Endpoint {
 	for _, id := range ids {
-		if e := v.Endpoint(id); e != nil && !b.member(id).breaker.Blocked(now) {
+		if e := v.Endpoint(id); e != nil && b.member(id).breaker.Closed() {
 			return e
 		}
 	}
@@ -258,7 +270,7 @@
 	var score uint64
 	for _, e := range known {
 		m := b.member(e.ID)
-		if now-e.Since < settled || m.breaker.Blocked(now) {
+		if now-e.Since < settled || !m.breaker.Closed() {
 			continue
 		}
 		if s := hasher.Mix(session ^ m.seed); best == nil || s > score {
@@ -302,7 +314,7 @@
 			continue
 		}
 		c := candidate{endpoint: e, load: b.Load(e.ID, now), score: hasher.Mix(q.Session ^ m.seed)}
-		if m.breaker.Blocked(now) {
+		if !m.breaker.Closed() {
 			blocked = append(blocked, c)
 		} else {
 			candidates = append(candidates, c)
--- a/fleet/balancer/balancer_test.go
+++ b/fleet/balancer/balancer_test.go
@@ -164,3 +164,37 @@
 		t.Fatalf("fetched from %v, not from %s", c.Source, spilled.Endpoint.ID)
 	}
 }
+
+// No request of a caller is spent on finding out whether an endpoint is back.
+func TestBlockedEndpointsAreProbedAside(t *testing.T) {
+	v := world(1, 2)
+	b := newTestBalancer()
+	b.Fail("e-0-0", 0)
+	later := timekeeper.Minute
+	for range 5 {
+		c, _ := b.Choose(v, Query{Service: testService, Session: 3}, later)
+		if c.Endpoint.ID != "e-0-1" {
+			t.Fatalf("chose %s before it was probed", c.Endpoint.ID)
+		}
+	}
+	if due := b.Due(v, later); len(due) != 1 || due[0].ID != "e-0-0" {
+		t.Fatalf("due: %v", due)
+	}
+	if due := b.Due(v, later); len(due) != 0 {
+		t.Fatal("two probes at once")
+	}
+	b.Fail("e-0-0", later)
+	if due := b.Due(v, later); len(due) != 0 {
+		t.Fatal("probed again at once")
+	}
+	b.Due(v, 2*later)
+	b.Succeed("e-0-0")
+	seen := map[model.EndpointID]bool{}
+	for session := range uint64(20) {
+		c, _ := b.Choose(v, Query{Service: testService, Session: session + 1}, 2*later)
+		seen[c.Endpoint.ID] = true
+	}
+	if !seen["e-0-0"] {
+		t.Fatal("not chosen though its probe was answered")
+	}
+}
--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -33,7 +33,7 @@
 	EventEndpointRemoved    = Event{221, "endpoint-removed", levelInfo, "An endpoint is listed no more."}
 	EventEndpointUnreadable = Event{222, "endpoint-unreadable", levelWarn, "An entry of the list of endpoints names none to use."}
 	EventEndpointDown       = Event{300, "endpoint-down", levelWarn, "The endpoint does not answer."}
-	EventEndpointUp         = Event{301, "endpoint-up", levelInfo, "The endpoint answers again and is cold."}
+	EventEndpointUp         = Event{301, "endpoint-up", levelInfo, "The endpoint answers again; it may be cold."}
 	EventEndpointCold       = Event{302, "endpoint-cold", levelWarn, "The endpoint turned cold again."}
 	EventEndpointLeaving    = Event{303, "endpoint-leaving", levelInfo, "The endpoint takes no new work."}
 	EventSuspect            = Event{310, "request-suspected", levelWarn, "A request was in flight when its endpoint crashed."}
--- a/fleet/retrier/breaker.go
+++ b/fleet/retrier/breaker.go
@@ -19,6 +19,16 @@
 	return b.span > 0 && (now < b.until || b.probing)
 }
 
+// Closed tells whether nothing speaks against the endpoint.
+func (b *Breaker) Closed() bool {
+	return b.span == 0
+}
+
+// Due tells whether a block is over and no probe is out.
+func (b *Breaker) Due(now timekeeper.Millis) bool {
+	return b.span > 0 && now >= b.until && !b.probing
+}
+
 // Start notes an attempt; after a block it is the one probe.
 func (b *Breaker) Start(now timekeeper.Millis) {
 	if b.span > 0 && now >= b.until {
--- a/router/internal/connector/pool.go
+++ b/router/internal/connector/pool.go
@@ -96,6 +96,18 @@
 	return newConn(id, raw), nil
 }
 
+// Probe tells whether somebody listens at an endpoint's address; errors match ErrDial.
+func (p *Pool) Probe(ctx context.Context, id model.EndpointID, address string) error {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrDial, id, err)
+	}
+	dials.Inc()
+	p.Put(newConn(id, raw))
+
+	return nil
+}
+
 func (p *Pool) take(id model.EndpointID) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -111,6 +111,30 @@
 		}
 		known := func(id model.EndpointID) bool { return v.Endpoint(id) != nil }
 		g.pool.Sweep(known)
-		g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) { b.Keep(known) })
+		var due []*cataloguer.Endpoint
+		g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
+			b.Keep(known)
+			due = b.Due(v, g.clock.Now())
+		})
+		for _, e := range due {
+			go g.probe(ctx, e)
+		}
+	}
+}
+
+// probe finds out whether a blocked endpoint can be reached again.
+func (g *Gateway) probe(ctx context.Context, e *cataloguer.Endpoint) {
+	err := g.pool.Probe(ctx, e.ID, e.Address)
+	g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
+		if err == nil {
+			b.Succeed(e.ID)
+		} else {
+			b.Fail(e.ID, g.clock.Now())
+		}
+	})
+	if err == nil {
+		g.log.Write(logger.EventEndpointUp, logger.String("endpoint", e.ID))
+	} else {
+		g.log.Write(logger.EventEndpointDown, logger.String("endpoint", e.ID), logger.Err(err))
 	}
 }
