--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -239,7 +239,7 @@
 		if contains(holders, chosen.ID) {
 			return nil
 		}
-		if e := b.firstReachable(v, holders, now); e != nil {
+		if e := b.firstReachable(v, holders); e != nil {
 			return e
 		}
 		if q.Shared[i].ID != q.Session {
@@ -253,7 +253,7 @@
 	return nil
 }
 
-func (b *Balancer) firstReachable(v *cataloguer.View, ids []model.EndpointID, now timekeeper.Millis) *cataloguer.Endpoint {
+func (b *Balancer) firstReachable(v *cataloguer.View, ids []model.EndpointID) *cataloguer.Endpoint {
 	for _, id := range ids {
 		if e := v.Endpoint(id); e != nil && b.member(id).breaker.Closed() {
 			return e
