--- a/fleet/balancer/balancer_test.go
+++ b/fleet/balancer/balancer_test.go
@@ -36,7 +36,7 @@
 }
 
 func newTestBalancer() *Balancer {
-	return NewBalancer(Terms{LoadMultiple: 2, ColdOvershoot: 1.5, ColdSlack: 5}, "self", "d-0", budgeter.NewRoster("self", nil, 0))
+	return NewBalancer(2, "self", "d-0", budgeter.NewRoster("self", nil, 0))
 }
 
 // A domain that is out still counts in the mean that the operators' bound speaks of.
@@ -55,7 +55,7 @@
 		}
 		b.Start(c.Endpoint.ID, 0)
 		mean := float64(n+1) / 12
-		if float64(b.Load(c.Endpoint.ID, 0)) > multiple*mean+slack {
+		if float64(b.Load(c.Endpoint.ID)) > multiple*mean+slack {
 			over++
 		}
 	}
@@ -198,3 +198,38 @@
 		t.Fatal("not chosen though its probe was answered")
 	}
 }
+
+func TestReportsReplaceEachOtherAndExpire(t *testing.T) {
+	b := newTestBalancer()
+	b.Start("e", 0)
+	b.Report("other", map[model.EndpointID]int{"e": 5, "f": 1}, 0)
+	b.Report("other", map[model.EndpointID]int{"e": 2}, 10)
+	b.Report("third", map[model.EndpointID]int{"e": 4}, 20)
+	if e, f := b.Load("e"), b.Load("f"); e != 7 || f != 0 {
+		t.Fatalf("loads %d and %d", e, f)
+	}
+	b.Expire(10 + reportLifetime)
+	if e := b.Load("e"); e != 5 {
+		t.Fatalf("load %d after one report expired", e)
+	}
+}
+
+// BenchmarkChoose is one choice among the endpoints of the target size, with the reports of a few seconds.
+func BenchmarkChoose(b *testing.B) {
+	v := world(5, 168)
+	x := newTestBalancer()
+	for g := range 24 {
+		running := map[model.EndpointID]int{}
+		for n := range 16 {
+			running[model.EndpointID(fmt.Sprintf("e-%d-%d", n%5, (g*7+n)%168))] = 1
+		}
+		x.Report(fmt.Sprintf("gateway-%d", g), running, 0)
+	}
+	q := sessionQuery()
+	for n := 0; b.Loop(); n++ {
+		q.Session = uint64(n % 5000)
+		if _, refusal := x.Choose(v, q, timekeeper.Millis(n)); refusal != nil {
+			b.Fatal(refusal)
+		}
+	}
+}
--- a/router/internal/dispatcher/dispatcher.go
+++ b/router/internal/dispatcher/dispatcher.go
@@ -402,7 +402,7 @@
 	}
 	a.forced = refusal.Next
 	if refusal.Code == model.CodeStale || a.used.Keyed {
-		return pause(ctx, stalePause)
+		return timekeeper.Pause(ctx, stalePause)
 	}
 	a.excluded[t.id] = true
 
--- a/router/internal/gateway/follow.go
+++ b/router/internal/gateway/follow.go
@@ -40,7 +40,7 @@
 			g.log.Write(logger.EventStoreLost, logger.String("range", prefix), logger.Err(err))
 		}
 		lost = true
-		pause(ctx, backoff/2+rand.N(backoff))
+		timekeeper.Pause(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -52,11 +52,7 @@
 // NewGateway returns a gateway that knows nothing yet.
 func NewGateway(s Settings, clock timekeeper.Clock, log logger.Logger) *Gateway {
 	pool := connector.NewPool(connector.Terms{DialTimeout: dialTimeout, Silence: s.Contact / 2}, clock)
-	b := balancer.NewBalancer(balancer.Terms{
-		LoadMultiple:  s.LoadMultiple,
-		ColdOvershoot: s.ColdOvershoot,
-		ColdSlack:     s.ColdSlack,
-	}, s.PeerListen, model.DomainID(s.Domain), budgeter.NewRoster(s.PeerListen, nil, clock.Now()))
+	b := balancer.NewBalancer(s.LoadMultiple, s.PeerListen, model.DomainID(s.Domain), budgeter.NewRoster(s.PeerListen, nil, clock.Now()))
 	r := budgeter.NewRetries(budgeter.Terms{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow})
 	g := &Gateway{
 		settings:  s,
@@ -99,7 +95,7 @@
 
 // sweep forgets what is no longer needed.
 func (g *Gateway) sweep(ctx context.Context) {
-	for pause(ctx, sweepInterval) {
+	for timekeeper.Pause(ctx, sweepInterval) {
 		g.mu.Lock()
 		if g.endpoints.Expire(g.clock.Now()) {
 			g.rebuild()
@@ -113,6 +109,7 @@
 		g.pool.Sweep(known)
 		var due []*cataloguer.Endpoint
 		g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
+			b.Expire(g.clock.Now())
 			b.Keep(known)
 			due = b.Due(v, g.clock.Now())
 		})
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -91,7 +91,7 @@
 func (p *peers) run(ctx context.Context) {
 	var w conc.WaitGroup
 	defer w.Wait()
-	for pause(ctx, tradeInterval) {
+	for timekeeper.Pause(ctx, tradeInterval) {
 		for _, address := range p.turn() {
 			w.Go(func() { p.trade(ctx, address) })
 		}
--- a/router/internal/gateway/serve.go
+++ b/router/internal/gateway/serve.go
@@ -69,7 +69,7 @@
 	g.log.Write(logger.EventShutdownStarted)
 	g.stopping.Store(true)
 	end := g.clock.Now() + g.settings.Grace - graceMargin
-	pause(context.Background(), min(noticeSpan, g.settings.Grace/2))
+	timekeeper.Pause(context.Background(), min(noticeSpan, g.settings.Grace/2))
 	ctx, cancel := context.WithTimeout(context.Background(), (end - g.clock.Now()).Duration())
 	defer cancel()
 
--- a/router/internal/gateway/settings.go
+++ b/router/internal/gateway/settings.go
@@ -26,32 +26,29 @@
 	// Heartbeat is how often endpoints renew their entries in the store.
 	Heartbeat timekeeper.Millis
 	// Contact is the span after which operators hold a process for in touch again.
-	Contact       timekeeper.Millis
-	Grace         timekeeper.Millis
-	RetryWindow   timekeeper.Millis
-	RetryRatio    float64
-	RetrySlack    float64
-	ColdOvershoot float64
-	ColdSlack     float64
-	LoadMultiple  float64
-	MemoryMB      int
-	Cores         int
-	LogLines      int
+	Contact      timekeeper.Millis
+	Grace        timekeeper.Millis
+	RetryWindow  timekeeper.Millis
+	RetryRatio   float64
+	RetrySlack   float64
+	LoadMultiple float64
+	MemoryMB     int
+	Cores        int
+	LogLines     int
 }
 
 // NewSettings returns settings with defaults filled in.
 func NewSettings() Settings {
 	return Settings{
-		Heartbeat:     timekeeper.Second,
-		Contact:       3 * timekeeper.Second,
-		Grace:         10 * timekeeper.Second,
-		RetryWindow:   10 * timekeeper.Second,
-		RetryRatio:    0.1,
-		ColdOvershoot: 1,
-		LoadMultiple:  2,
-		MemoryMB:      256,
-		Cores:         1,
-		LogLines:      200,
+		Heartbeat:    timekeeper.Second,
+		Contact:      3 * timekeeper.Second,
+		Grace:        10 * timekeeper.Second,
+		RetryWindow:  10 * timekeeper.Second,
+		RetryRatio:   0.1,
+		LoadMultiple: 2,
+		MemoryMB:     256,
+		Cores:        1,
+		LogLines:     200,
 	}
 }
 
@@ -108,8 +105,6 @@
 	return []loader.Option{
 		{Name: "retry-ratio", Target: &s.RetryRatio, Default: "0.1", Check: atLeast(&s.RetryRatio, 0), Meaning: "Retries allowed for each request of a service, over all gateways."},
 		{Name: "retry-slack", Target: &s.RetrySlack, Default: "0", Check: atLeast(&s.RetrySlack, 0), Meaning: "Retries allowed in a window beside the ratio, over all gateways."},
-		{Name: "cold-overshoot", Target: &s.ColdOvershoot, Default: "1", Check: atLeast(&s.ColdOvershoot, 0), Meaning: "Multiple of a service's rate for cold endpoints that is never passed."},
-		{Name: "cold-slack", Target: &s.ColdSlack, Default: "0", Check: atLeast(&s.ColdSlack, 0), Meaning: "Requests in a second allowed beside that multiple."},
 		{Name: "load-multiple", Target: &s.LoadMultiple, Default: "2", Check: atLeast(&s.LoadMultiple, 1), Meaning: "Largest multiple of the mean load of a service."},
 		{
 			Name: "memory-mb", Target: &s.MemoryMB, Default: "256", Unit: "MB", Bound: "16 to 1048576",
