--- a/fleet/balancer/balancer_test.go
+++ b/fleet/balancer/balancer_test.go
@@ -199,6 +199,29 @@
 	}
 }
 
+func TestConnectionsToAnEndpointAreShared(t *testing.T) {
+	const most, gateways = 12, 4
+	service := cataloguer.Service{ID: testService, MaxConnections: most}
+	c := cataloguer.NewConfiguration(1, cataloguer.Limits{}, nil, []cataloguer.Service{service}, nil, false)
+	v := cataloguer.NewView(c, nil, []*cataloguer.Endpoint{{ID: "e", Service: testService, Slots: 6}}, 1, 0)
+	b := newTestBalancer()
+	b.Roster.Meet([]string{"other", "third", "fourth"}, 0)
+	for n := range most {
+		choice, refusal := b.Choose(v, Query{Service: testService}, 0)
+		if refused := refusal != nil; refused != (n >= most/gateways) {
+			t.Fatalf("request %d: refused = %v", n, refused)
+		}
+		if refusal != nil {
+			if refusal.Outcome != model.OutcomeNotRun || refusal.RetryAfter <= 0 {
+				t.Fatalf("refusal %+v", refusal)
+			}
+
+			continue
+		}
+		b.Start(choice.Endpoint.ID, 0)
+	}
+}
+
 func TestReportsReplaceEachOtherAndExpire(t *testing.T) {
 	b := newTestBalancer()
 	b.Start("e", 0)
--- a/fleet/balancer/choose.go
+++ b/fleet/balancer/choose.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"math"
+
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/hasher"
 	"cardamompulley/fleet/locator"
@@ -65,12 +67,13 @@
 	x := survey{candidates: make([]candidate, 0, len(known)), wait: emptyWait}
 	var blocked []candidate
 	sharers := b.Roster.Sharers(now)
+	connections := connectionShare(s, len(b.Roster.Known()))
 	total := 0
 	for _, e := range known {
 		m := b.member(e.ID)
 		c := candidate{endpoint: e, load: m.running + m.remote, score: hasher.Mix(q.Session ^ m.seed)}
 		total += c.load
-		if !v.Open(e) || contains(q.Tried, e.ID) {
+		if !v.Open(e) || contains(q.Tried, e.ID) || m.running >= connections {
 			continue
 		}
 		if e.ColdUntil > now && !b.colds.Room(e.ID, b.colds.Share(e.ID, s.ColdPerSecond, sharers), now) {
@@ -93,6 +96,15 @@
 	return x
 }
 
+// connectionShare is the number of connections that this gateway may hold to each endpoint of a service.
+func connectionShare(s cataloguer.Service, gateways int) int {
+	if s.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+
+	return max(s.MaxConnections/max(gateways, 1), 1)
+}
+
 func contains(ids []model.EndpointID, id model.EndpointID) bool {
 	for _, other := range ids {
 		if other == id {
