--- a/router/internal/gateway/follow.go
+++ b/router/internal/gateway/follow.go
@@ -33,6 +33,7 @@
 				g.log.Write(logger.EventStoreRegained, logger.String("range", prefix))
 			}
 			lost = false
+			g.setLost(r, false)
 
 			continue
 		}
@@ -40,11 +41,19 @@
 			g.log.Write(logger.EventStoreLost, logger.String("range", prefix), logger.Err(err))
 		}
 		lost = true
+		g.setLost(r, true)
 		timekeeper.Pause(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+// setLost notes whether a range can be followed at the store.
+func (g *Gateway) setLost(r *replicator.Replica, lost bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lost[r] = lost
+}
+
 // step makes one call to the store and takes what it brings.
 func (g *Gateway) step(ctx context.Context, prefix string, r *replicator.Replica, whole bool) error {
 	if whole {
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -46,7 +46,9 @@
 	mu        sync.Mutex
 	operator  *replicator.Replica
 	endpoints *replicator.Replica
-	listing   *listing
+	// lost are the ranges that cannot be followed at the store now.
+	lost    map[*replicator.Replica]bool
+	listing *listing
 }
 
 // NewGateway returns a gateway that knows nothing yet.
@@ -63,6 +65,7 @@
 		forward:   forwarder.NewForwarder(b, r, pool, clock, log),
 		operator:  replicator.NewReplica(0),
 		endpoints: replicator.NewReplica(lapseBeats * s.Heartbeat),
+		lost:      map[*replicator.Replica]bool{},
 		listing:   newListing(),
 		known:     make(chan struct{}),
 	}
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -28,7 +28,7 @@
 	// maxPlacements bounds the placements of one trade.
 	maxPlacements = 64
 	// maxNames bounds the gateways named in one trade; each trade names the next ones.
-	maxNames = 16
+	maxNames = 4
 )
 
 // peers knows the other gateways and trades with them; a gateway once known counts for shares as long as this process lives.
@@ -169,8 +169,8 @@
 
 	return &messenger.TradeRequest{
 		News:      p.news(),
-		Operator:  stateOf(p.g.operator),
-		Endpoints: stateOf(p.g.endpoints),
+		Operator:  p.stateOf(p.g.operator),
+		Endpoints: p.stateOf(p.g.endpoints),
 	}
 }
 
@@ -214,8 +214,14 @@
 	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) { b.Learn(placements, p.g.clock.Now()) })
 }
 
-func stateOf(r *replicator.Replica) *messenger.RangeState {
-	return &messenger.RangeState{AsOf: r.AsOf(), Content: r.Content(), Synced: r.Synced()}
+// stateOf tells how far a range is followed; the caller holds the gateway's lock.
+func (p *peers) stateOf(r *replicator.Replica) *messenger.RangeState {
+	return &messenger.RangeState{
+		AsOf:    r.AsOf(),
+		Content: r.Content(),
+		Synced:  r.Synced(),
+		Wanted:  p.g.lost[r] || !r.Synced(),
+	}
 }
 
 // news is what this gateway says of itself; the caller holds the gateway's lock.
@@ -301,9 +307,9 @@
 	}, nil
 }
 
-// copyFor returns the whole range if it holds something that the other side lacks.
+// copyFor returns the whole range if the other side cannot follow it at the store and lacks something of it.
 func copyFor(theirs *messenger.RangeState, r *replicator.Replica) *messenger.RangeCopy {
-	if !r.Synced() {
+	if !r.Synced() || !theirs.GetWanted() {
 		return nil
 	}
 	if theirs.GetSynced() && (r.AsOf() <= theirs.GetAsOf() || r.Content() <= theirs.GetContent()) {
