A status that promises is passed on only with the endpoint's word that the request has not run

Cause: read as a newcomer, 408, 421 and 429 of an endpoint that had run a request would have reached the caller unchanged and told it that nothing ran (503 was held back already). Test row first: 429 came through. Besides: the context of a refused request is released at once; a configuration without a bound on bodies has one.

--- a/experimenter/internal/launcher/gateway_test.go
+++ b/experimenter/internal/launcher/gateway_test.go
@@ -221,6 +221,8 @@
 		{"idempotent, answer lost", "GET", lookups, `{"lose-answer": true}`, "", 502, 2},
 		{"idempotent, crossed answers", "GET", lookups, `{"cross": true}`, "", 502, 2},
 		{"once, failed", "POST", bookings, `{"status": 500}`, "", 500, 1},
+		{"once, failed with a status that promises", "POST", bookings, `{"status": 429}`, "", 502, 1},
+		{"once, failed with another one", "POST", bookings, `{"status": 503}`, "", 502, 1},
 		{"once, answer lost", "POST", bookings, `{"lose-answer": true}`, "", 502, 1},
 		{"once, crossed answer", "POST", bookings, `{"cross": true}`, "", 502, 1},
 		{"once, unsigned answer", "POST", bookings, `{"unsigned": true}`, "", 502, 1},
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -128,7 +128,7 @@
 	}
 	j.sent++
 	j.f.noteHealth(j.choice.Endpoint.ID, true)
-	if whole.status >= http.StatusInternalServerError {
+	if whole.status >= http.StatusInternalServerError || promises(whole.status) {
 		return &failure{err: fmt.Errorf("%w: status %d", errOwnFailure, whole.status), ran: true, reply: whole}
 	}
 	j.pass(whole)
@@ -190,7 +190,7 @@
 	if j.stream.started {
 		j.abort(last.err)
 	}
-	if last != nil && last.reply != nil && promisesNothing(last.reply.status) {
+	if last != nil && last.reply != nil && !promises(last.reply.status) {
 		j.pass(last.reply)
 
 		return
@@ -198,8 +198,15 @@
 	j.refuse(j.outcome(last, refusal))
 }
 
-func promisesNothing(status int) bool {
-	return status != http.StatusServiceUnavailable
+// promises tells whether a status says to callers that the request has not run. An endpoint that means it says so in its
+// headers too; without them the status is not passed on.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
 }
 
 func (j *job) outcome(last *failure, refusal *model.Refusal) *model.Refusal {
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -85,6 +85,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.awaitState(r.Context())
 	j := newJob(f, w, r)
+	defer func() { j.cancel() }()
 	if f.Closing() {
 		w.Header().Set("Connection", "close")
 	}
--- a/router/internal/forwarder/job.go
+++ b/router/internal/forwarder/job.go
@@ -21,7 +21,9 @@
 
 const (
 	defaultTimeout = timekeeper.Minute
-	startWait      = 500 * timekeeper.Millis(1)
+	// defaultBody bounds bodies, in bytes, where the configuration does not.
+	defaultBody = 16 << 20
+	startWait   = 500 * timekeeper.Millis(1)
 	// readShare divides the time left into what a request waits while its prompt is read for another one.
 	readShare = 8
 )
@@ -138,14 +140,14 @@
 	}
 	control := http.NewResponseController(j.w)
 	_ = control.SetReadDeadline(time.Now().Add(j.left().Duration()))
-	reader := j.r.Body
-	if most := j.view.Configuration.Limits.BodyBytes; most > 0 {
-		if j.r.ContentLength > most {
-			return model.NewRefusal(model.CodeBodyTooLarge, "the body is over the limit")
-		}
-		reader = http.MaxBytesReader(j.w, j.r.Body, most)
+	most := j.view.Configuration.Limits.BodyBytes
+	if most <= 0 {
+		most = defaultBody
+	}
+	if j.r.ContentLength > most {
+		return model.NewRefusal(model.CodeBodyTooLarge, "the body is over the limit")
 	}
-	body, err := j.readAll(reader)
+	body, err := j.readAll(http.MaxBytesReader(j.w, j.r.Body, most))
 	j.body = body
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
@@ -186,7 +188,6 @@
 
 // run sends the request until an endpoint has served it or nothing more may be tried.
 func (j *job) run() {
-	defer j.cancel()
 	j.f.earn(j.service)
 	var last *failure
 	for {
