Gateways that are cut off from the store get the changes and not the whole range

Change: a replica remembers the newest 1,024 deletions and hands on what has changed since the other's revision. Test: changes are as good as a whole copy, over 200 drawn histories.

--- a/fleet/replicator/replica.go
+++ b/fleet/replicator/replica.go
@@ -8,6 +8,9 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
+// maxDeletions bounds the deletions that a replica remembers.
+const maxDeletions = 1024
+
 // lapseHold is how long after an outage of the store entries that lapsed meanwhile may still come back.
 const lapseHold = 2 * timekeeper.Second
 
@@ -25,6 +28,9 @@
 	Lapse timekeeper.Millis
 
 	items map[string]Item
+	// deletions are the newest ones, in order; all after the revision complete are among them.
+	deletions []Item
+	complete  uint64
 	// doubtful are deleted items that are kept until the given instant.
 	doubtful map[string]timekeeper.Millis
 	asOf     uint64
@@ -93,6 +99,9 @@
 	}
 	r.synced = true
 	r.asOf = asOf
+	// When the items that are missing now were deleted is not known.
+	r.deletions = nil
+	r.complete = asOf
 
 	return changed
 }
@@ -105,6 +114,7 @@
 			continue
 		}
 		if e.Deleted {
+			r.remember(e)
 			changed = r.remove(e, now) || changed
 		} else {
 			changed = r.put(e) || changed
@@ -115,6 +125,15 @@
 	return changed
 }
 
+// remember keeps a deletion for copies that hold only what is new.
+func (r *Replica) remember(e Item) {
+	r.deletions = append(r.deletions, e)
+	if len(r.deletions) > maxDeletions {
+		r.complete = r.deletions[0].Revision
+		r.deletions = r.deletions[1:]
+	}
+}
+
 func (r *Replica) put(item Item) bool {
 	delete(r.doubtful, item.Key)
 	r.content = max(r.content, item.Revision)
@@ -177,6 +196,25 @@
 	})
 }
 
+// Since returns the changes after a revision for another process; ok is false when not all of them are known any more.
+func (r *Replica) Since(revision uint64) (changes []Item, ok bool) {
+	if revision < r.complete {
+		return nil, false
+	}
+	for _, item := range r.Copy() {
+		if item.Revision > revision {
+			changes = append(changes, item)
+		}
+	}
+	for _, e := range r.deletions {
+		if e.Revision > revision {
+			changes = append(changes, e)
+		}
+	}
+
+	return changes, true
+}
+
 // Get returns the item of a key.
 func (r *Replica) Get(key string) (Item, bool) {
 	item, ok := r.items[key]
--- a/fleet/replicator/replica_test.go
+++ b/fleet/replicator/replica_test.go
@@ -1,6 +1,9 @@
 package replicator
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
 	"testing"
 
 	"cardamompulley/fleet/timekeeper"
@@ -102,3 +105,46 @@
 		t.Fatal("a deletion was doubted though the store was there")
 	}
 }
+
+// Whoever takes the changes since its own revision holds what whoever takes the whole copy holds.
+func TestChangesAreAsGoodAsAWholeCopy(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		source := NewReplica(0)
+		source.Replace([]Item{put("k0", 1), put("k1", 2)}, 2, 0)
+		behind := NewReplica(0)
+		behind.Replace(source.Copy(), source.AsOf(), 0)
+		for revision := uint64(3); revision < 60; revision++ {
+			key := fmt.Sprintf("k%d", random.IntN(6))
+			if random.IntN(3) == 0 {
+				source.Apply([]Item{deletion(key, revision)}, revision, 0)
+			} else {
+				source.Apply([]Item{put(key, revision)}, revision, 0)
+			}
+			if random.IntN(8) > 0 {
+				continue
+			}
+			changes, ok := source.Since(behind.AsOf())
+			if !ok {
+				t.Fatalf("seed %d: changes since %d are not known", seed, behind.AsOf())
+			}
+			behind.Apply(changes, source.AsOf(), 0)
+			whole := NewReplica(0)
+			whole.Replace(source.Copy(), source.AsOf(), 0)
+			if !reflect.DeepEqual(behind.Items(), whole.Items()) {
+				t.Fatalf("seed %d, revision %d: %v, want %v", seed, revision, behind.Items(), whole.Items())
+			}
+		}
+	}
+}
+
+func TestChangesBeforeAWholeReadAreNotKnown(t *testing.T) {
+	r := NewReplica(0)
+	r.Replace([]Item{put("a", 1)}, 5, 0)
+	if _, ok := r.Since(4); ok {
+		t.Fatal("changes before the read are said to be known")
+	}
+	if _, ok := r.Since(5); !ok {
+		t.Fatal("changes after the read are not known")
+	}
+}
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -307,7 +307,7 @@
 	}, nil
 }
 
-// copyFor returns the whole range if the other side cannot follow it at the store and lacks something of it.
+// copyFor returns what the other side lacks of a range that it cannot follow at the store: the changes, or all of it.
 func copyFor(theirs *messenger.RangeState, r *replicator.Replica) *messenger.RangeCopy {
 	if !r.Synced() || !theirs.GetWanted() {
 		return nil
@@ -315,9 +315,15 @@
 	if theirs.GetSynced() && (r.AsOf() <= theirs.GetAsOf() || r.Content() <= theirs.GetContent()) {
 		return nil
 	}
-	c := &messenger.RangeCopy{AsOf: r.AsOf()}
-	for _, item := range r.Copy() {
-		c.Items = append(c.Items, &messenger.StoredItem{Key: item.Key, Value: item.Value, Revision: item.Revision})
+	items, changes := r.Since(theirs.GetAsOf())
+	if !theirs.GetSynced() || !changes {
+		items, changes = r.Copy(), false
+	}
+	c := &messenger.RangeCopy{AsOf: r.AsOf(), Changes: changes}
+	for _, item := range items {
+		c.Items = append(c.Items, &messenger.StoredItem{
+			Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted,
+		})
 	}
 
 	return c
@@ -329,7 +335,15 @@
 	}
 	items := make([]replicator.Item, 0, len(c.Items))
 	for _, item := range c.Items {
-		items = append(items, replicator.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
+		items = append(items, replicator.Item{
+			Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted,
+		})
 	}
-	p.g.take("peer "+name, r, func(now timekeeper.Millis) bool { return r.Replace(items, c.AsOf, now) })
+	p.g.take("peer "+name, r, func(now timekeeper.Millis) bool {
+		if c.Changes {
+			return r.Apply(items, c.AsOf, now)
+		}
+
+		return r.Replace(items, c.AsOf, now)
+	})
 }
