Names of the callers' server; connections that cannot be accepted are logged

Cause: read as a newcomer, the server of callers was named by a metaphor, and an error of accept was dropped without a line.

--- a/fleet/replicator/replica.go
+++ b/fleet/replicator/replica.go
@@ -36,9 +36,9 @@
 	asOf     uint64
 	content  uint64
 	synced   bool
-	// heard is when the store last answered this process, witnessed when it last answered another one.
-	heard     timekeeper.Millis
-	witnessed timekeeper.Millis
+	// heard is when the store last answered this process, heardElsewhere when it last answered another one.
+	heard          timekeeper.Millis
+	heardElsewhere timekeeper.Millis
 	// holdUntil ends the doubt after an outage.
 	holdUntil timekeeper.Millis
 }
@@ -70,15 +70,15 @@
 
 // Reached notes an answer of the store and doubts deletions for a while after an outage.
 func (r *Replica) Reached(now timekeeper.Millis) {
-	if r.Lapse > 0 && r.synced && r.heard > 0 && now-max(r.heard, r.witnessed) >= r.Lapse {
+	if r.Lapse > 0 && r.synced && r.heard > 0 && now-max(r.heard, r.heardElsewhere) >= r.Lapse {
 		r.holdUntil = now + lapseHold
 	}
 	r.heard = now
 }
 
-// Witness notes that another process had an answer of the store at an instant, so that the store was not away.
-func (r *Replica) Witness(at timekeeper.Millis) {
-	r.witnessed = max(r.witnessed, at)
+// HeardElsewhere notes that another process had an answer of the store at an instant, so that the store was not away.
+func (r *Replica) HeardElsewhere(at timekeeper.Millis) {
+	r.heardElsewhere = max(r.heardElsewhere, at)
 }
 
 // Replace takes a whole range as read at a revision and tells whether anything changed.
--- a/fleet/replicator/replica_test.go
+++ b/fleet/replicator/replica_test.go
@@ -93,12 +93,12 @@
 }
 
 // An outage that another process did not see was none of the store's.
-func TestWitnessEndsTheDoubt(t *testing.T) {
+func TestContactElsewhereEndsTheDoubt(t *testing.T) {
 	const lapse = 2 * timekeeper.Second
 	r := NewReplica(lapse)
 	r.Reached(1)
 	r.Replace([]Item{put("a", 1)}, 1, 1)
-	r.Witness(lapse)
+	r.HeardElsewhere(lapse)
 	r.Reached(1 + lapse)
 	r.Apply([]Item{deletion("a", 2)}, 2, 1+lapse)
 	if holds(r, "a") {
--- a/router/internal/connector/conn.go
+++ b/router/internal/connector/conn.go
@@ -53,8 +53,8 @@
 	_ = c.raw.Close()
 }
 
-// quiet tells whether an idle connection is open and holds no surplus byte.
-func (c *Conn) quiet() bool {
+// idleUsable tells whether an idle connection is open and holds no surplus byte.
+func (c *Conn) idleUsable() bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
@@ -66,16 +66,16 @@
 	if err != nil {
 		return false
 	}
-	quiet := false
+	usable := false
 	err = control.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, _, fault := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = fault == syscall.EAGAIN
+		usable = fault == syscall.EAGAIN
 
 		return true
 	})
 
-	return err == nil && quiet
+	return err == nil && usable
 }
 
 // Send sends a request and reads the head of its answer.
--- a/router/internal/connector/pool.go
+++ b/router/internal/connector/pool.go
@@ -79,7 +79,7 @@
 		if c == nil {
 			break
 		}
-		if c.expires > p.clock.Now() && c.quiet() {
+		if c.expires > p.clock.Now() && c.idleUsable() {
 			reuses.Inc()
 			c.Reused = true
 
--- /dev/null
+++ b/router/internal/gateway/callers.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/timekeeper"
+)
+
+// acceptPause lets descriptors become free after a connection could not be accepted.
+const acceptPause = 5 * timekeeper.Millis(1)
+
+// Limits in force until a configuration is known.
+var firstLimits = cataloguer.Limits{
+	HeaderBytes:   64 << 10,
+	HeaderTimeout: 5 * timekeeper.Second,
+	IdleTimeout:   60 * timekeeper.Second,
+}
+
+// callerServer serves callers; each connection is held to the limits in force when it was accepted.
+type callerServer struct {
+	handler http.Handler
+	limits  func() cataloguer.Limits
+	// report is told of connections that could not be accepted.
+	report func(error)
+
+	mu      sync.Mutex
+	current *limitedServer
+	all     []*limitedServer
+	closed  bool
+}
+
+// limitedServer serves the connections that were accepted under one set of limits.
+type limitedServer struct {
+	server *http.Server
+	limits cataloguer.Limits
+	conns  *connListener
+}
+
+func newCallerServer(handler http.Handler, limits func() cataloguer.Limits, report func(error)) *callerServer {
+	return &callerServer{handler: handler, limits: limits, report: report}
+}
+
+// serve accepts connections until the listener closes.
+func (c *callerServer) serve(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			c.report(err)
+			time.Sleep(acceptPause.Duration())
+
+			continue
+		}
+		if !c.dispatch(conn) {
+			_ = conn.Close()
+		}
+	}
+}
+
+func (c *callerServer) dispatch(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	if limits := c.limits(); c.current == nil || c.current.limits != limits {
+		c.current = c.open(limits, conn.LocalAddr())
+		c.all = append(c.all, c.current)
+	}
+
+	return c.current.conns.deliver(conn)
+}
+
+func (c *callerServer) open(limits cataloguer.Limits, address net.Addr) *limitedServer {
+	n := &limitedServer{limits: limits, conns: newConnListener(address)}
+	n.server = &http.Server{
+		Handler:           c.handler,
+		ReadHeaderTimeout: limits.HeaderTimeout.Duration(),
+		IdleTimeout:       limits.IdleTimeout.Duration(),
+		MaxHeaderBytes:    limits.HeaderBytes,
+	}
+	// Serve returns only once the server is shut down.
+	go func() { _ = n.server.Serve(n.conns) }()
+
+	return n
+}
+
+// shutdown closes idle connections and waits for running requests.
+func (c *callerServer) shutdown(ctx context.Context) error {
+	c.mu.Lock()
+	c.closed = true
+	all := c.all
+	c.mu.Unlock()
+	var faults []error
+	for _, n := range all {
+		faults = append(faults, n.server.Shutdown(ctx))
+	}
+
+	return errors.Join(faults...)
+}
+
+// connListener is a listener whose connections were accepted by another one.
+type connListener struct {
+	conns   chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+	address net.Addr
+}
+
+func newConnListener(address net.Addr) *connListener {
+	return &connListener{conns: make(chan net.Conn), done: make(chan struct{}), address: address}
+}
+
+func (h *connListener) deliver(conn net.Conn) bool {
+	select {
+	case h.conns <- conn:
+		return true
+	case <-h.done:
+		return false
+	}
+}
+
+// Accept returns the next connection, or net.ErrClosed.
+func (h *connListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	case <-h.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends Accept.
+func (h *connListener) Close() error {
+	h.once.Do(func() { close(h.done) })
+
+	return nil
+}
+
+// Addr returns the address of the listener that the connections come from.
+func (h *connListener) Addr() net.Addr {
+	return h.address
+}
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -268,7 +268,7 @@
 	p.meet(append(news.Gateways, news.Address))
 	if news.StoreSilenceMs >= 0 {
 		p.g.mu.Lock()
-		p.g.endpoints.Witness(p.g.clock.Now() - timekeeper.Millis(news.StoreSilenceMs))
+		p.g.endpoints.HeardElsewhere(p.g.clock.Now() - timekeeper.Millis(news.StoreSilenceMs))
 		p.g.mu.Unlock()
 	}
 	running := make(map[model.EndpointID]int, len(news.Uses))
--- a/router/internal/gateway/serve.go
+++ b/router/internal/gateway/serve.go
@@ -44,16 +44,16 @@
 	// The bound address names this gateway to the others.
 	s.PeerListen = open[purposePeer].Addr().String()
 	g := NewGateway(s, clock, log)
-	d := newDoors(g.forward, g.limits)
+	callers := newCallerServer(g.forward, g.limits, func(err error) { g.report(purposeCallers, err) })
 	background, end := context.WithCancel(context.Background())
 	var w conc.WaitGroup
-	for purpose, serve := range g.servers(d) {
+	for purpose, serve := range g.servers(callers) {
 		w.Go(func() { g.report(purpose, serve(open[purpose])) })
 	}
 	w.Go(func() { g.Run(background) })
 	w.Go(func() { g.reload(background, path) })
 	<-term.Done()
-	err = g.drain(d)
+	err = g.drain(callers)
 	end()
 	for _, l := range open {
 		_ = l.Close()
@@ -65,7 +65,7 @@
 }
 
 // drain lets the balancer notice, then lets running requests finish within the grace.
-func (g *Gateway) drain(d *doors) error {
+func (g *Gateway) drain(callers *callerServer) error {
 	g.log.Write(logger.EventShutdownStarted)
 	g.stopping.Store(true)
 	end := g.clock.Now() + g.settings.Grace - graceMargin
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), (end - g.clock.Now()).Duration())
 	defer cancel()
 
-	return d.shutdown(ctx)
+	return callers.shutdown(ctx)
 }
 
 func (g *Gateway) limits() cataloguer.Limits {
@@ -117,7 +117,7 @@
 }
 
 // servers returns what answers at each listener.
-func (g *Gateway) servers(d *doors) map[string]func(net.Listener) error {
+func (g *Gateway) servers(callers *callerServer) map[string]func(net.Listener) error {
 	trades := &http.Server{Handler: g.peers.handler(), ReadHeaderTimeout: pageTimeout.Duration()}
 	plain := func(h http.Handler) func(net.Listener) error {
 		server := &http.Server{Handler: h, ReadHeaderTimeout: pageTimeout.Duration()}
@@ -126,7 +126,7 @@
 	}
 
 	return map[string]func(net.Listener) error{
-		purposeCallers: d.serve,
+		purposeCallers: callers.serve,
 		purposeReady:   plain(readyHandler(g.Ready)),
 		purposePeer:    func(l net.Listener) error { return trades.Serve(g.control.Listener(l)) },
 		purposeMetrics: plain(g.metricsHandler()),
