Gateways that were replaced are forgotten after a quarter of an hour without a word of them

Change: gateways are named to others only by those that have traded with them in the last five minutes, and dropped fifteen minutes after the last naming, far beyond every window of the sums. Test: two gateways and a replaced one over forty minutes, and the schedules of sums as before.

--- a/fleet/balancer/balancer_test.go
+++ b/fleet/balancer/balancer_test.go
@@ -97,7 +97,7 @@
 	v.Endpoints(testService)[0].ColdUntil = timekeeper.Minute
 	b := newTestBalancer()
 	b.Roster.Meet([]string{"other", "third", "fourth"}, 0)
-	b.Roster.Traded()
+	b.Roster.Traded("other", 0)
 	sent := 0
 	for n := range 100 {
 		now := 5*timekeeper.Second + timekeeper.Millis(n*10)
--- a/fleet/budgeter/share_test.go
+++ b/fleet/budgeter/share_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 
 	"cardamompulley/fleet/model"
@@ -20,6 +19,7 @@
 
 // gateway is one process in a schedule: it learns of others late, is away for a while, and forgets all when restarted.
 type gateway struct {
+	name   string
 	roster *Roster
 	colds  *Colds
 	budget *Retries
@@ -52,7 +52,7 @@
 func (f *fleet) start(n int, now timekeeper.Millis) *gateway {
 	seeds := f.names[:min(3, len(f.names))]
 
-	return &gateway{roster: NewRoster(f.names[n], seeds, now), colds: NewColds(f.names[n]), budget: NewRetries(f.terms)}
+	return &gateway{name: f.names[n], roster: NewRoster(f.names[n], seeds, now), colds: NewColds(f.names[n]), budget: NewRetries(f.terms)}
 }
 
 // trade lets two gateways tell each other whom they know.
@@ -62,11 +62,11 @@
 	if a == b || a.away > now || b.away > now {
 		return
 	}
-	known := slices.Concat(a.roster.Known(), b.roster.Known())
-	a.roster.Meet(known, now)
-	b.roster.Meet(known, now)
-	a.roster.Traded()
-	b.roster.Traded()
+	fromA, fromB := a.roster.Vouched(now), b.roster.Vouched(now)
+	a.roster.Meet(fromB, now)
+	b.roster.Meet(fromA, now)
+	a.roster.Traded(b.name, now)
+	b.roster.Traded(a.name, now)
 }
 
 // tradeAll lets each gateway trade once in 250 ms on average.
@@ -170,3 +170,32 @@
 		}
 	}
 }
+
+// VMs that are replaced every day must not take shares for ever, and silence must not free a share soon.
+func TestReplacedGatewaysAreForgotten(t *testing.T) {
+	a, b := NewRoster("a", nil, 0), NewRoster("b", nil, 0)
+	trade := func(now timekeeper.Millis) {
+		fromA, fromB := a.Vouched(now), b.Vouched(now)
+		a.Meet(fromB, now)
+		b.Meet(fromA, now)
+		a.Traded("b", now)
+		b.Traded("a", now)
+	}
+	a.Meet([]string{"replaced"}, 1)
+	a.Traded("replaced", 1)
+	for now := timekeeper.Second; now < 2*(vouchSpan+forgetSpan); now += timekeeper.Second {
+		trade(now)
+		a.Forget(now)
+		b.Forget(now)
+		known := len(b.Known()) == 3 && len(a.Known()) == 3
+		if now < forgetSpan && !known {
+			t.Fatalf("forgotten after %d ms", now)
+		}
+		if now > vouchSpan+forgetSpan+timekeeper.Second && known {
+			t.Fatalf("still known after %d ms", now)
+		}
+	}
+	if got := len(a.Known()); got != 2 {
+		t.Fatalf("%d gateways known, two are alive", got)
+	}
+}
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 			continue
 		}
 		known := func(id model.EndpointID) bool { return v.Endpoint(id) != nil }
+		g.peers.forget()
 		g.pool.Sweep(known)
 		var due []*cataloguer.Endpoint
 		g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 
 	"connectrpc.com/connect"
@@ -31,7 +32,7 @@
 	maxNames = 4
 )
 
-// peers knows the other gateways and trades with them; a gateway once known counts for shares as long as this process lives.
+// peers knows the other gateways and trades with them.
 type peers struct {
 	g      *Gateway
 	client *http.Client
@@ -81,13 +82,31 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, a := range fresh {
-		if a != p.g.settings.PeerListen {
+		if _, ok := p.known[a]; !ok && a != p.g.settings.PeerListen {
 			p.known[a] = &peer{}
 			p.order = append(p.order, a)
 		}
 	}
 }
 
+// forget drops gateways that nobody has named for long; seeds are asked on.
+func (p *peers) forget() {
+	var gone []string
+	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
+		gone = b.Roster.Forget(p.g.clock.Now())
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range gone {
+		if slices.Contains(p.g.settings.Seeds, a) {
+			continue
+		}
+		delete(p.known, a)
+		delete(p.clients, a)
+		p.order = slices.DeleteFunc(p.order, func(o string) bool { return o == a })
+	}
+}
+
 func (p *peers) run(ctx context.Context) {
 	var w conc.WaitGroup
 	defer w.Wait()
@@ -148,7 +167,12 @@
 // note logs when a gateway is lost or regained.
 func (p *peers) note(address string, err error) {
 	p.mu.Lock()
-	k := p.known[address]
+	k, ok := p.known[address]
+	if !ok {
+		p.mu.Unlock()
+
+		return
+	}
 	changed := k.lost != (err != nil)
 	k.lost = err != nil
 	k.busy = false
@@ -231,7 +255,7 @@
 		news.StoreSilenceMs = int64(p.g.clock.Now() - heard)
 	}
 	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
-		news.Gateways = p.nextNames(b.Roster.Known())
+		news.Gateways = p.nextNames(b.Roster.Vouched(p.g.clock.Now()))
 		for id, n := range b.Running() {
 			news.Uses = append(news.Uses, &messenger.EndpointUse{Endpoint: string(id), Running: uint32(n)})
 		}
@@ -277,7 +301,7 @@
 	}
 	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
 		b.Report(news.Address, running, p.g.clock.Now())
-		b.Roster.Traded()
+		b.Roster.Traded(news.Address, p.g.clock.Now())
 	})
 	p.g.forward.Marks(func(r *quarantiner.Register) {
 		for _, m := range news.Marks {
