The launched fleet is ready only on the configuration that it publishes

Seen with the answer of the first send printed (2 of some 400 runs beside load). Ruled out: a second run of the key, which the test now checks before anything else. Change: the launcher waits for its own version at every process; the test also checks its first send.

--- a/experimenter/internal/launcher/booking_test.go
+++ b/experimenter/internal/launcher/booking_test.go
@@ -82,12 +82,15 @@
 	f := launch(t, nil)
 	key := newKey(t)
 	first := book(t, callerOf(f, 0), key)
+	if first.Status != http.StatusCreated {
+		t.Fatalf("first send: %+v", first)
+	}
 	moveHomes(t, f, model.EndpointID(first.Endpoint))
 	again := book(t, callerOf(f, 1), key)
+	wantAtMostOneRun(t, f, key)
 	if again.Status != http.StatusCreated || !again.Replayed {
 		t.Fatalf("send to the new home: %+v", again)
 	}
-	wantAtMostOneRun(t, f, key)
 }
 
 // moveHomes declares the other plain service the only home and waits until both routers hold the patch.
--- a/experimenter/internal/launcher/fleet.go
+++ b/experimenter/internal/launcher/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
@@ -102,7 +103,31 @@
 		return err
 	}
 
-	return f.AwaitReady()
+	if err := f.AwaitReady(); err != nil {
+		return err
+	}
+
+	return f.awaitPublished()
+}
+
+// publishedVersion is the configuration version that the launcher itself publishes, after the platform's empty first one.
+const publishedVersion = model.Version(2)
+
+// awaitPublished returns when every process holds the published configuration: a process may be ready on the empty one.
+func (f *Fleet) awaitPublished() error {
+	want := fmt.Sprintf("configuration_version %d", publishedVersion)
+	for _, p := range f.Running() {
+		holds := func() bool {
+			text, err := Fetch("http://" + p.Address("operator") + "/metrics")
+
+			return err == nil && strings.Contains(text, want)
+		}
+		if err := Await(holds); err != nil {
+			return fmt.Errorf("%w: %s", ErrNotReady, p.Name)
+		}
+	}
+
+	return nil
 }
 
 func (f *Fleet) program(name, program string, purposes []string, arguments ...string) (*Process, error) {
