Long answers without a length are passed on; a stream goes on elsewhere only where it may be resumed

Cause, read as a newcomer: an answer over 64 KB without a declared length was taken for broken (65,537 bytes: 502), and a stream on a route that may be repeated but not resumed was joined from two runs (12 + 8 events looked whole). Besides: a field that nothing set is gone, one place keeps or closes a connection, and a stream counts as resumed only once it goes on.

--- a/experimenter/internal/launcher/gateway_test.go
+++ b/experimenter/internal/launcher/gateway_test.go
@@ -269,6 +269,18 @@
 	}
 }
 
+// An answer without a length may be of any size.
+func TestGatewayPassesLongAnswers(t *testing.T) {
+	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways, s.Plains = 1, 1 })
+	for _, size := range []int{1, 64 << 10, 64<<10 + 1, 300_000} {
+		must(t, f.EndpointFaults("plain-1", fmt.Sprintf(`{"long": %d}`, size)))
+		c := newCall(f.Gateways[0], http.MethodPost, bookings)
+		if a := c.get(t); a.status != http.StatusOK || len(a.body) != size {
+			t.Fatalf("%d bytes: status %d and %d bytes", size, a.status, len(a.body))
+		}
+	}
+}
+
 func wholeStream(events int) string {
 	var b bytes.Buffer
 	for n := 1; n <= events; n++ {
@@ -297,6 +309,12 @@
 	if a := c.send(t.Context()); a.err == nil || a.body != wholeStream(12) || runsOf(t, f, c.attempt) != 1 {
 		t.Fatalf("a cut stream looked complete: %+v", a)
 	}
+	must(t, f.EndpointFaults("plain-1", `{"cut-after": 12}`))
+	must(t, f.EndpointFaults("plain-2", `{"cut-after": 12}`))
+	c = newCall(f.Gateways[0], http.MethodGet, lookups).stream()
+	if a := c.send(t.Context()); a.err == nil || a.body != wholeStream(12) || runsOf(t, f, c.attempt) != 1 {
+		t.Fatalf("a stream that cannot be resumed went on elsewhere: %+v", a)
+	}
 }
 
 func TestGatewayStopsWorkOfCallersThatLeave(t *testing.T) {
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -32,8 +33,6 @@
 	err error
 	// ran is true when the endpoint may have run the request.
 	ran bool
-	// final is true when nothing more can be done for the caller.
-	final bool
 	// reply is the endpoint's own failure, to be passed on unchanged if nothing better comes.
 	reply *reply
 }
@@ -73,9 +72,7 @@
 		return j.lose(conn, errCrossed)
 	}
 	if reply.NotRun {
-		j.settle(conn, response, nil)
-
-		return &failure{err: fmt.Errorf("%w: status %d", errNotRun, response.StatusCode)}
+		return j.rejected(conn, response)
 	}
 	if response.StatusCode < 300 && (!reply.Signed || reply.Attempt == "" || response.Header.Get("Content-Encoding") != "") {
 		return j.lose(conn, errUnsigned)
@@ -98,20 +95,31 @@
 	return &failure{err: err, ran: true}
 }
 
-// settle reads a short answer to its end and keeps the connection if it can.
-func (j *job) settle(conn *connector.Conn, response *http.Response, body *[]byte) bool {
-	read, err := io.ReadAll(io.LimitReader(response.Body, wholeBytes+1))
-	if body != nil {
-		*body = read
-	}
-	if err != nil || len(read) > wholeBytes || !conn.Reusable(response) {
+// release keeps a connection whose answer was read to its end, if it can carry another request.
+func (j *job) release(conn *connector.Conn, response *http.Response) {
+	if conn.Reusable(response) {
+		j.f.pool.Put(conn)
+	} else {
 		conn.Close()
+	}
+}
+
+// readStart reads an answer up to a size and tells whether that was all of it.
+func readStart(response *http.Response) (start []byte, whole bool, err error) {
+	start, err = io.ReadAll(io.LimitReader(response.Body, wholeBytes+1))
 
-		return err == nil && len(read) <= wholeBytes
+	return start, len(start) <= wholeBytes, err
+}
+
+// rejected notes an endpoint's word that it did not run the request.
+func (j *job) rejected(conn *connector.Conn, response *http.Response) *failure {
+	if _, whole, err := readStart(response); whole && err == nil {
+		j.release(conn, response)
+	} else {
+		conn.Close()
 	}
-	j.f.pool.Put(conn)
 
-	return true
+	return &failure{err: fmt.Errorf("%w: status %d", errNotRun, response.StatusCode)}
 }
 
 func (j *job) deliver(conn *connector.Conn, response *http.Response) *failure {
@@ -119,19 +127,24 @@
 	if kind == "text/event-stream" && response.StatusCode < 300 {
 		return j.deliverStream(conn, response)
 	}
-	if response.ContentLength > wholeBytes {
-		return j.deliverLong(conn, response)
-	}
-	whole := &reply{status: response.StatusCode, header: outgoing(response.Header)}
-	if !j.settle(conn, response, &whole.body) {
+	start, whole, err := readStart(response)
+	if err != nil {
 		return j.lose(conn, errBroken)
 	}
+	if !whole && promises(response.StatusCode) {
+		return j.lose(conn, errOwnFailure)
+	}
+	if !whole {
+		return j.deliverLong(conn, response, start)
+	}
+	j.release(conn, response)
 	j.sent++
 	j.f.noteHealth(j.choice.Endpoint.ID, true)
-	if whole.status >= http.StatusInternalServerError || promises(whole.status) {
-		return &failure{err: fmt.Errorf("%w: status %d", errOwnFailure, whole.status), ran: true, reply: whole}
+	a := &reply{status: response.StatusCode, header: outgoing(response.Header), body: start}
+	if a.status >= http.StatusInternalServerError || promises(a.status) {
+		return &failure{err: fmt.Errorf("%w: status %d", errOwnFailure, a.status), ran: true, reply: a}
 	}
-	j.pass(whole)
+	j.pass(a)
 
 	return nil
 }
@@ -142,8 +155,6 @@
 	if j.r.Method != http.MethodHead {
 		if _, err := j.w.Write(a.body); err != nil {
 			j.leave()
-
-			return
 		}
 	}
 	j.logServed(a.status)
@@ -163,19 +174,15 @@
 	j.w.WriteHeader(status)
 }
 
-// deliverLong passes on an answer that is too long to be held.
-func (j *job) deliverLong(conn *connector.Conn, response *http.Response) *failure {
+// deliverLong passes on an answer that is too long to be held, from its start on.
+func (j *job) deliverLong(conn *connector.Conn, response *http.Response, start []byte) *failure {
 	j.sent++
 	j.writeHead(response.StatusCode, outgoing(response.Header), int(response.ContentLength))
-	if _, err := io.Copy(j.w, response.Body); err != nil {
+	if _, err := io.Copy(j.w, io.MultiReader(bytes.NewReader(start), response.Body)); err != nil {
 		conn.Close()
 		j.abort(err)
 	}
-	if conn.Reusable(response) {
-		j.f.pool.Put(conn)
-	} else {
-		conn.Close()
-	}
+	j.release(conn, response)
 	j.f.noteHealth(j.choice.Endpoint.ID, true)
 	j.logServed(response.StatusCode)
 
--- a/router/internal/forwarder/job.go
+++ b/router/internal/forwarder/job.go
@@ -245,7 +245,10 @@
 // goOn decides whether the request may be sent to another endpoint.
 func (j *job) goOn(fault *failure) bool {
 	j.tried = append(j.tried, j.choice.Endpoint.ID)
-	if fault.final || j.ctx.Err() != nil || j.left() <= 0 {
+	if j.ctx.Err() != nil || j.left() <= 0 {
+		return false
+	}
+	if j.stream.started && (!j.route.Resumable || j.stream.last == "") {
 		return false
 	}
 	if fault.ran && (!j.route.Repeatable() || j.sent >= j.route.MaxAttempts) {
@@ -257,6 +260,10 @@
 		return false
 	}
 	resent.Inc()
+	if j.stream.started {
+		resumed.Inc()
+		j.f.log.Write(logger.EventStreamResumed, j.fields()...)
+	}
 
 	return true
 }
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 
-	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/router/internal/connector"
 )
@@ -119,11 +118,7 @@
 	if len(j.stream.pending) > 0 {
 		return j.breakStream(conn, errBroken)
 	}
-	if conn.Reusable(response) {
-		j.f.pool.Put(conn)
-	} else {
-		conn.Close()
-	}
+	j.release(conn, response)
 	j.f.noteHealth(j.choice.Endpoint.ID, true)
 	if !j.stream.started {
 		j.startStream(response)
@@ -133,17 +128,13 @@
 	return nil
 }
 
-// breakStream tells whether the stream may go on elsewhere.
+// breakStream ends a connection whose stream broke.
 func (j *job) breakStream(conn *connector.Conn, err error) *failure {
 	conn.Close()
 	if j.ctx.Err() == nil {
 		j.f.noteHealth(j.choice.Endpoint.ID, false)
 		j.f.blame(j.choice.Endpoint.ID, j.fingerprint)
 	}
-	if j.stream.started && j.route.Resumable && j.ctx.Err() == nil {
-		resumed.Inc()
-		j.f.log.Write(logger.EventStreamResumed, j.fields()...)
-	}
 
 	return &failure{err: err, ran: true}
 }
--- a/standin/internal/responder/responder.go
+++ b/standin/internal/responder/responder.go
@@ -39,6 +39,8 @@
 	LoseAnswer bool `json:"lose-answer"`
 	// CutAfter breaks streams in the middle of the event after so many.
 	CutAfter int `json:"cut-after"`
+	// Long answers plain requests with so many bytes, without a length.
+	Long int `json:"long"`
 	// Hold keeps requests running until their caller leaves.
 	Hold bool `json:"hold"`
 }
@@ -143,6 +145,12 @@
 }
 
 func (p *Responder) answer(w http.ResponseWriter, r *http.Request, f Faults) {
+	if f.Long > 0 {
+		// A caller that has left does not need the rest.
+		_, _ = io.CopyN(w, zeros{}, int64(f.Long))
+
+		return
+	}
 	text := "served by " + p.id + " " + r.Method + " " + r.RequestURI
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
@@ -158,6 +166,18 @@
 	time.AfterFunc(timekeeper.Second.Duration(), func() { _ = conn.Close() })
 }
 
+// zeros is an endless source of the digit 0.
+type zeros struct{}
+
+// Read fills the buffer.
+func (zeros) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = '0'
+	}
+
+	return len(b), nil
+}
+
 func (p *Responder) stream(w http.ResponseWriter, r *http.Request, f Faults) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 1
