One dialer limits silence for the store and for endpoints

Cause: TCP_USER_TIMEOUT and the probes stood twice, in platform/ and in connector. Change: fleet/dialer.

--- /dev/null
+++ b/fleet/dialer/doc.go
@@ -0,0 +1,2 @@
+// Package dialer opens connections that do not stay silent unnoticed.
+package dialer
--- a/router/internal/connector/pool.go
+++ b/router/internal/connector/pool.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cardamompulley/fleet/dialer"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
@@ -23,8 +23,7 @@
 	// defaultIdle is how long a connection is kept when its endpoint names no idle timeout.
 	defaultIdle = 4 * timekeeper.Second
 	// idleMargin is kept between our use of an idle connection and the endpoint's close of it.
-	idleMargin     = 500 * timekeeper.Millis(1)
-	tcpUserTimeout = 18
+	idleMargin = 500 * timekeeper.Millis(1)
 )
 
 // ErrDial is matched by a failure before anything was sent.
@@ -40,7 +39,7 @@
 // Pool keeps idle connections by endpoint.
 type Pool struct {
 	clock  timekeeper.Clock
-	dialer net.Dialer
+	dialer *net.Dialer
 
 	mu   sync.Mutex
 	idle map[model.EndpointID][]*Conn
@@ -48,28 +47,11 @@
 
 // NewPool returns an empty pool.
 func NewPool(t Terms, clock timekeeper.Clock) *Pool {
-	p := &Pool{clock: clock, idle: map[model.EndpointID][]*Conn{}}
-	p.dialer = net.Dialer{
-		Timeout: t.DialTimeout.Duration(),
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     t.Silence.Duration() / 2,
-			Interval: t.Silence.Duration() / 4,
-			Count:    2,
-		},
-		Control: func(_, _ string, c syscall.RawConn) error { return setSilence(c, t.Silence) },
+	return &Pool{
+		clock:  clock,
+		dialer: dialer.NewDialer(t.DialTimeout, t.Silence),
+		idle:   map[model.EndpointID][]*Conn{},
 	}
-
-	return p
-}
-
-func setSilence(c syscall.RawConn, span timekeeper.Millis) error {
-	var fault error
-	err := c.Control(func(fd uintptr) {
-		fault = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(span))
-	})
-
-	return errors.Join(err, fault)
 }
 
 // Get returns an idle connection to an endpoint or a new one; errors match ErrDial.
@@ -87,25 +69,29 @@
 		}
 		c.Close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %s: %w", ErrDial, id, err)
-	}
-	dials.Inc()
 
-	return newConn(id, raw), nil
+	return p.dial(ctx, id, address)
 }
 
 // Probe tells whether somebody listens at an endpoint's address; errors match ErrDial.
 func (p *Pool) Probe(ctx context.Context, id model.EndpointID, address string) error {
+	c, err := p.dial(ctx, id, address)
+	if err != nil {
+		return err
+	}
+	p.Put(c)
+
+	return nil
+}
+
+func (p *Pool) dial(ctx context.Context, id model.EndpointID, address string) (*Conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return fmt.Errorf("%w: %s: %w", ErrDial, id, err)
+		return nil, fmt.Errorf("%w: %s: %w", ErrDial, id, err)
 	}
 	dials.Inc()
-	p.Put(newConn(id, raw))
 
-	return nil
+	return newConn(id, raw), nil
 }
 
 func (p *Pool) take(id model.EndpointID) *Conn {
