What callers, endpoints and operators write stands in platform/imitator

Cause: the launcher and the load tool held the platform's names, and the test on names passed over them.

--- a/experimenter/internal/caller/gateway.go
+++ b/experimenter/internal/caller/gateway.go
@@ -8,6 +8,10 @@
 	"strings"
 
 	"github.com/google/uuid"
+
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/platform/imitator"
 )
 
 // GatewayCall is one request to a gateway as callers of the platform send it.
@@ -25,11 +29,10 @@
 
 // GatewayReply is a gateway's whole answer.
 type GatewayReply struct {
-	Status    int
-	Attempt   string
-	Endpoint  string
-	RetryWait string
-	Body      string
+	Status   int
+	Attempt  string
+	Endpoint string
+	Body     string
 }
 
 // SendToGateway sends a request and reads its answer to the end.
@@ -40,7 +43,7 @@
 	}
 	r.Host = c.Host
 	attempt := uuid.NewString()
-	for name, value := range c.Headers(attempt) {
+	for name, value := range c.Headers(model.AttemptID(attempt)) {
 		r.Header.Set(name, value)
 	}
 	response, err := http.DefaultClient.Do(r)
@@ -54,26 +57,17 @@
 	}
 
 	return GatewayReply{
-		Status:    response.StatusCode,
-		Attempt:   attempt,
-		Endpoint:  strings.TrimPrefix(response.Header.Get("Cardamompulley-Response-Signature"), "signed-by-"),
-		RetryWait: response.Header.Get("Retry-After"),
-		Body:      string(body),
+		Status:   response.StatusCode,
+		Attempt:  attempt,
+		Endpoint: imitator.SignedBy(response.Header),
+		Body:     string(body),
 	}, nil
 }
 
-// Headers returns the platform's headers of an attempt.
-func (c GatewayCall) Headers(attempt string) map[string]string {
-	h := map[string]string{
-		"Cardamompulley-Attempt-Id":  attempt,
-		"Cardamompulley-Key":         c.Key,
-		"Cardamompulley-Deadline-Ms": "4000",
-	}
-	if c.Stream {
-		h["Cardamompulley-Model"] = "m"
-		h["Cardamompulley-Token-Counts"] = "120,80"
-		h["Cardamompulley-Prompt-Prefix"] = fmt.Sprintf("a1:50,%x:50,c3:20", c.Session)
-	}
+// callLeft is how long the callers of demos and benches wait.
+const callLeft = 4 * timekeeper.Second
 
-	return h
+// Headers returns the platform's headers of an attempt.
+func (c GatewayCall) Headers(attempt model.AttemptID) map[string]string {
+	return imitator.Call{Attempt: attempt, Key: c.Key, Left: callLeft, Stream: c.Stream, Session: c.Session}.Headers()
 }
--- a/experimenter/internal/demonstrator/gateway.go
+++ b/experimenter/internal/demonstrator/gateway.go
@@ -85,7 +85,7 @@
 }
 
 func (d *GatewayDemonstrator) domainOut() error {
-	if err := d.fleet.PutItem("op/evacuate/domain-0", map[string]any{}); err != nil {
+	if err := d.fleet.TakeOut(0); err != nil {
 		return err
 	}
 
@@ -93,7 +93,7 @@
 }
 
 func (d *GatewayDemonstrator) revoked() error {
-	if err := d.fleet.Configure(func(c map[string]any) { c["tenants"] = []any{} }); err != nil {
+	if err := d.fleet.Configure(); err != nil {
 		return err
 	}
 
--- a/experimenter/internal/launcher/explain_test.go
+++ b/experimenter/internal/launcher/explain_test.go
@@ -37,7 +37,7 @@
 	must(t, f.EndpointFaults("plain-1", `{"lose-answer": true}`))
 	booking := newCall(f.Gateways[0], http.MethodPost, bookings)
 	booking.get(t)
-	must(t, f.DeleteItem("servers/plain-1"))
+	must(t, f.Unlist("plain-1"))
 	eventually(t, "the endpoint is gone", 3*time.Second, func() bool {
 		return newCall(f.Gateways[0], http.MethodGet, lookups).get(t).status == http.StatusServiceUnavailable
 	})
--- a/experimenter/internal/launcher/gateway.go
+++ b/experimenter/internal/launcher/gateway.go
@@ -11,7 +11,9 @@
 	"path/filepath"
 	"time"
 
+	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/platform/imitator"
 )
 
 // GatewaySpec says what to start before the platform's stand-ins.
@@ -29,11 +31,11 @@
 	Settings map[string]any
 }
 
-// Keys and hosts of the launched configuration.
+// Host, key and account of the launched configuration.
 const (
 	GatewayHost    = "calls.example"
 	GatewayKey     = "demo-key"
-	GatewayAccount = "demo-account"
+	gatewayAccount = model.AccountID("demo-account")
 )
 
 // DemoEvents is the number of events of a stream in the demo.
@@ -47,12 +49,12 @@
 // GatewayFleet is a store, endpoints and gateways, each a process.
 type GatewayFleet struct {
 	Store     *Process
-	Endpoints map[string]*Process
+	Endpoints map[model.EndpointID]*Process
 	Gateways  []*Process
 
 	spec    GatewaySpec
 	folder  string
-	version int
+	version model.Version
 }
 
 // ErrStandIn means that a stand-in did not take what it was told.
@@ -64,7 +66,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("launcher: %w", err)
 	}
-	f := &GatewayFleet{spec: spec, folder: folder, Endpoints: map[string]*Process{}}
+	f := &GatewayFleet{spec: spec, folder: folder, Endpoints: map[model.EndpointID]*Process{}}
 	if err := f.start(); err != nil {
 		f.Kill()
 
@@ -80,16 +82,16 @@
 	if err != nil {
 		return err
 	}
-	if err := f.Configure(nil); err != nil {
+	if err := f.Configure(GatewayKey); err != nil {
 		return err
 	}
 	for n := range f.spec.Engines {
-		if err := f.StartEndpoint(fmt.Sprintf("engine-%d", n+1), "engines", n); err != nil {
+		if err := f.StartEndpoint(model.EndpointID(fmt.Sprintf("engine-%d", n+1)), imitator.ServiceEngines, n); err != nil {
 			return err
 		}
 	}
 	for n := range f.spec.Plains {
-		if err := f.StartEndpoint(fmt.Sprintf("plain-%d", n+1), "records", n); err != nil {
+		if err := f.StartEndpoint(model.EndpointID(fmt.Sprintf("plain-%d", n+1)), imitator.ServiceRecords, n); err != nil {
 			return err
 		}
 	}
@@ -107,71 +109,56 @@
 }
 
 // StartEndpoint starts an endpoint of a service and lists it in the store.
-func (f *GatewayFleet) StartEndpoint(id, service string, domain int) error {
-	p, err := f.program(id, "standin", []string{"standin"}, "responder", "--id", id,
+func (f *GatewayFleet) StartEndpoint(id model.EndpointID, service model.ServiceID, domain int) error {
+	p, err := f.program(string(id), "standin", []string{"standin"}, "responder", "--id", string(id),
 		"--events", fmt.Sprint(max(f.spec.Events, 1)), "--gap-ms", fmt.Sprint(int64(f.spec.Gap)))
 	if err != nil {
 		return err
 	}
 	f.Endpoints[id] = p
 
-	return f.List(id, service, domain, "ready")
+	return f.List(id, service, domain, false)
 }
 
 // List writes an endpoint's entry.
-func (f *GatewayFleet) List(id, service string, domain int, state string) error {
-	return f.PutItem("servers/"+id, map[string]any{
-		"service": service, "address": f.Endpoints[id].Address("standin"),
-		"zone": fmt.Sprintf("domain-%d", domain), "version": "v1", "slots": 64,
-		"state": state, "cold-remaining-ms": 0, "sequence": 1,
-	})
+func (f *GatewayFleet) List(id model.EndpointID, service model.ServiceID, domain int, leaving bool) error {
+	address := f.Endpoints[id].Address("standin")
+
+	return f.PutItem(imitator.KeyEndpoint(id), imitator.Endpoint(service, address, domainOf(domain), leaving))
 }
 
-// Configure writes the next version of the configuration; change may alter it first.
-func (f *GatewayFleet) Configure(change func(map[string]any)) error {
-	f.version++
-	c := gatewayConfiguration(f.version)
-	if change != nil {
-		change(c)
-	}
+// Unlist removes an endpoint's entry.
+func (f *GatewayFleet) Unlist(id model.EndpointID) error {
+	return f.deleteItem(imitator.KeyEndpoint(id))
+}
 
-	return f.PutItem("op/config", c)
+// TakeOut takes a failure domain out.
+func (f *GatewayFleet) TakeOut(domain int) error {
+	return f.PutItem(imitator.KeyOutage(domainOf(domain)), map[string]any{})
 }
 
-func gatewayConfiguration(version int) map[string]any {
-	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": GatewayHost, "prefix": prefix, "kind": kind, "service": service,
-			"timeout-ms": 5000, "target-latency-ms": 500, "priority": 1, "max-attempts": attempts,
-			"public": false, "resumable": resumable, "session-affinity": kind == "stream",
-		}
-	}
+// TakeBack takes a failure domain back in.
+func (f *GatewayFleet) TakeBack(domain int) error {
+	return f.deleteItem(imitator.KeyOutage(domainOf(domain)))
+}
 
-	return map[string]any{
-		"version": version,
-		"routes": []any{
-			route("drafts", "/drafts/", "stream", "engines", 1, false),
-			route("edits", "/edits/", "stream", "engines", 2, true),
-			route("lookups", "/lookups/", "safe", "records", 2, false),
-			route("bookings", "/bookings/", "unsafe", "records", 1, false),
-		},
-		"services": []any{
-			map[string]any{"name": "engines", "max-connections": 64, "cold-s": 1, "cold-per-s": 10,
-				"engine": map[string]any{"slots": 64, "kv-capacity-tokens": 100000}},
-			map[string]any{"name": "records", "max-connections": 64},
-		},
-		"limits": map[string]any{
-			"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
-		},
-		"tenants": []any{map[string]any{"name": GatewayAccount, "api-keys": []string{GatewayKey}}},
-	}
+func domainOf(n int) model.DomainID {
+	return model.DomainID(fmt.Sprintf("domain-%d", n))
+}
+
+// Configure writes the next version of the configuration, in which the account has the given keys.
+func (f *GatewayFleet) Configure(keys ...string) error {
+	f.version++
+	site := imitator.Site{Host: GatewayHost, Account: gatewayAccount, Keys: keys}
+
+	return f.PutItem(imitator.KeyConfiguration, imitator.Configuration(f.version, site))
 }
 
 // StartGateway starts one more gateway; it does not wait until it is ready.
 func (f *GatewayFleet) StartGateway() (*Process, error) {
 	n := len(f.Gateways)
 	settings := map[string]any{
-		"process": fmt.Sprintf("gateway-%d", n+1), "domain": "domain-0",
+		"process": fmt.Sprintf("gateway-%d", n+1), "domain": domainOf(0),
 		"listen": "127.0.0.1:0", "ready-listen": "127.0.0.1:0", "peer-listen": "127.0.0.1:0",
 		"metrics-listen": "127.0.0.1:0", "store-address": f.Store.Address("standin"),
 		"shutdown-grace-ms": 6000, "retry-ratio": 0.2, "retry-slack": 50,
@@ -236,8 +223,7 @@
 	return tell(http.MethodPut, f.Store, "/items/"+key, raw)
 }
 
-// DeleteItem removes an item of the store.
-func (f *GatewayFleet) DeleteItem(key string) error {
+func (f *GatewayFleet) deleteItem(key string) error {
 	return tell(http.MethodDelete, f.Store, "/items/"+key, nil)
 }
 
@@ -247,7 +233,7 @@
 }
 
 // EndpointFaults switches faults of an endpoint, given as JSON.
-func (f *GatewayFleet) EndpointFaults(id, faults string) error {
+func (f *GatewayFleet) EndpointFaults(id model.EndpointID, faults string) error {
 	return tell(http.MethodPut, f.Endpoints[id], "/standin/faults", []byte(faults))
 }
 
@@ -278,7 +264,7 @@
 }
 
 // Runs returns what an endpoint has run, and how much of it still runs.
-func (f *GatewayFleet) Runs(id string) ([]EndpointRun, int, error) {
+func (f *GatewayFleet) Runs(id model.EndpointID) ([]EndpointRun, int, error) {
 	response, err := http.Get("http://" + f.Endpoints[id].Address("standin") + "/standin/runs")
 	if err != nil {
 		return nil, 0, fmt.Errorf("launcher: %s: %w", id, err)
