--- a/experimenter/internal/launcher/fleet.go
+++ b/experimenter/internal/launcher/fleet.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
@@ -110,26 +109,6 @@
 	return f.awaitPublished()
 }
 
-// publishedVersion is the configuration version that the launcher itself publishes, after the platform's empty first one.
-const publishedVersion = model.Version(2)
-
-// awaitPublished returns when every process holds the published configuration: a process may be ready on the empty one.
-func (f *Fleet) awaitPublished() error {
-	want := fmt.Sprintf("configuration_version %d", publishedVersion)
-	for _, p := range f.Running() {
-		holds := func() bool {
-			text, err := Fetch("http://" + p.Address("operator") + "/metrics")
-
-			return err == nil && strings.Contains(text, want)
-		}
-		if err := Await(holds); err != nil {
-			return fmt.Errorf("%w: %s", ErrNotReady, p.Name)
-		}
-	}
-
-	return nil
-}
-
 func (f *Fleet) program(name, program string, purposes []string, arguments ...string) (*Process, error) {
 	return Start(name, filepath.Join(f.spec.Programs, program), f.spec.Logs, purposes, arguments...)
 }
@@ -305,59 +284,6 @@
 	readyPoll    = 50 * timekeeper.Millis(1)
 )
 
-// AwaitReady waits until every process takes work.
-func (f *Fleet) AwaitReady() error {
-	for _, p := range f.Running() {
-		if err := Await(func() bool { return isReady(p) }); err != nil {
-			return fmt.Errorf("%w: %s", ErrNotReady, p.Name)
-		}
-	}
-
-	return nil
-}
-
-// Running returns every router and sidecar.
-func (f *Fleet) Running() []*Process {
-	processes := append([]*Process{}, f.Routers...)
-	for _, p := range f.Sidecars {
-		processes = append(processes, p)
-	}
-
-	return processes
-}
-
-// Stop ends routers, then sidecars, then stand-ins, and returns the first unclean end.
-func (f *Fleet) Stop() error {
-	var first error
-	all := f.Running()
-	for _, p := range f.Endpoints {
-		all = append(all, p)
-	}
-	all = append(all, f.Platform)
-	for _, p := range all {
-		if err := p.Stop(); err != nil && first == nil {
-			first = err
-		}
-	}
-	_ = os.RemoveAll(f.folder)
-
-	return first
-}
-
-// Kill ends whatever runs, at once.
-func (f *Fleet) Kill() {
-	for _, p := range f.Running() {
-		p.Kill()
-	}
-	for _, p := range f.Endpoints {
-		p.Kill()
-	}
-	if f.Platform != nil {
-		f.Platform.Kill()
-	}
-	_ = os.RemoveAll(f.folder)
-}
-
 // Runs returns how often a key ran on all plain services together.
 func (f *Fleet) Runs(key string) (int, error) {
 	total := 0
--- a/fleet/budgeter/roster.go
+++ b/fleet/budgeter/roster.go
@@ -6,10 +6,9 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
-// settleSpan is how long a new process must have heard of no further gateway before it spends shares of sums.
-const settleSpan = 1500 * timekeeper.Millis(1)
-
 const (
+	// settleSpan is how long a new process must have heard of no further gateway before it spends shares of sums.
+	settleSpan = 1500 * timekeeper.Millis(1)
 	// vouchSpan is how long after its last trade with this process a gateway is named to others.
 	vouchSpan = 5 * timekeeper.Minute
 	// forgetSpan is how long a gateway counts after anybody has last named it: far beyond every window of the sums, and
--- a/fleet/loader/check.go
+++ b/fleet/loader/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"strings"
 )
 
 // Errors of the validators.
@@ -15,6 +16,18 @@
 	ErrOutOfRange = errors.New("is out of range")
 )
 
+// Missing returns the rows of a settings table that a page lacks.
+func Missing(page string, options []Option) []string {
+	var missing []string
+	for _, o := range options {
+		if row := o.Row(); !strings.Contains(page, row) {
+			missing = append(missing, row)
+		}
+	}
+
+	return missing
+}
+
 // NotEmpty checks that a string is set.
 func NotEmpty(s *string) func() error {
 	return func() error {
--- a/router/internal/gateway/settings_test.go
+++ b/router/internal/gateway/settings_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"os"
-	"strings"
 	"testing"
 
 	"cardamompulley/fleet/loader"
@@ -15,10 +14,8 @@
 		t.Fatal(err)
 	}
 	s := NewSettings()
-	for _, o := range Options(&s) {
-		if !strings.Contains(string(page), o.Row()) {
-			t.Errorf("docs/CONFIGURATION.md lacks: %s", o.Row())
-		}
+	for _, row := range loader.Missing(string(page), Options(&s)) {
+		t.Errorf("docs/CONFIGURATION.md lacks: %s", row)
 	}
 }
 
--- /dev/null
+++ b/router/internal/gateway/trade.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+
+	"cardamompulley/fleet/balancer"
+	"cardamompulley/fleet/budgeter"
+	"cardamompulley/fleet/logger"
+	"cardamompulley/fleet/messenger"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/quarantiner"
+	"cardamompulley/fleet/replicator"
+	"cardamompulley/fleet/timekeeper"
+)
+
+func (p *peers) trade(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, tradeTimeout.Duration())
+	defer cancel()
+	request := p.request()
+	placements, next := p.placementsFor(address)
+	request.Placements = placements
+	response, err := p.clientOf(address).Trade(ctx, request)
+	p.note(address, err)
+	if err != nil {
+		return
+	}
+	p.told(address, next)
+	p.learn(response.News)
+	p.learnPlacements(response.Placements)
+	p.takeCopy(p.g.operator, "operator", response.Operator)
+	p.takeCopy(p.g.endpoints, "endpoints", response.Endpoints)
+}
+
+// note logs when a gateway is lost or regained.
+func (p *peers) note(address string, err error) {
+	p.mu.Lock()
+	k, ok := p.known[address]
+	if !ok {
+		p.mu.Unlock()
+
+		return
+	}
+	changed := k.lost != (err != nil)
+	k.lost = err != nil
+	k.busy = false
+	p.mu.Unlock()
+	if !changed {
+		return
+	}
+	if err != nil {
+		p.g.log.Write(logger.EventGatewayLost, logger.String("gateway", address), logger.Err(err))
+	} else {
+		p.g.log.Write(logger.EventGatewayRegained, logger.String("gateway", address))
+	}
+}
+
+func (p *peers) request() *messenger.TradeRequest {
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+
+	return &messenger.TradeRequest{
+		News:      p.news(),
+		Operator:  p.stateOf(p.g.operator),
+		Endpoints: p.stateOf(p.g.endpoints),
+	}
+}
+
+// stateOf tells how far a range is followed; the caller holds the gateway's lock.
+func (p *peers) stateOf(r *replicator.Replica) *messenger.RangeState {
+	return &messenger.RangeState{
+		AsOf:    r.AsOf(),
+		Content: r.Content(),
+		Synced:  r.Synced(),
+		Wanted:  p.g.lost[r] || !r.Synced(),
+	}
+}
+
+// news is what this gateway says of itself; the caller holds the gateway's lock.
+func (p *peers) news() *messenger.GatewayNews {
+	news := &messenger.GatewayNews{Address: p.g.settings.PeerListen, StoreSilenceMs: -1}
+	if heard := p.g.endpoints.Heard(); heard > 0 {
+		news.StoreSilenceMs = int64(p.g.clock.Now() - heard)
+	}
+	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
+		news.Gateways = p.nextNames(b.Roster.Vouched(p.g.clock.Now()))
+		for id, n := range b.Running() {
+			news.Uses = append(news.Uses, &messenger.EndpointUse{Endpoint: string(id), Running: uint32(n)})
+		}
+	})
+	p.g.forward.Marks(func(r *quarantiner.Register) {
+		for _, m := range r.Share(p.g.clock.Now()) {
+			news.Marks = append(news.Marks, &messenger.CrashMark{
+				Fingerprint: uint64(m.Fingerprint), Crashes: uint32(m.Crashes), ExpiresInMs: int64(m.ExpiresIn),
+			})
+		}
+	})
+
+	return news
+}
+
+// nextNames returns the part of the known gateways whose turn it is.
+func (p *peers) nextNames(known []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := make([]string, 0, maxNames)
+	for range min(maxNames, len(known)) {
+		names = append(names, known[p.named%len(known)])
+		p.named++
+	}
+
+	return names
+}
+
+// learn takes what another gateway says of itself.
+func (p *peers) learn(news *messenger.GatewayNews) {
+	if news == nil || news.Address == p.g.settings.PeerListen {
+		return
+	}
+	p.meet(append(news.Gateways, news.Address))
+	if news.StoreSilenceMs >= 0 {
+		p.g.mu.Lock()
+		p.g.endpoints.HeardElsewhere(p.g.clock.Now() - timekeeper.Millis(news.StoreSilenceMs))
+		p.g.mu.Unlock()
+	}
+	running := make(map[model.EndpointID]int, len(news.Uses))
+	for _, u := range news.Uses {
+		running[model.EndpointID(u.Endpoint)] = int(u.Running)
+	}
+	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
+		b.Report(news.Address, running, p.g.clock.Now())
+		b.Roster.Traded(news.Address, p.g.clock.Now())
+	})
+	p.g.forward.Marks(func(r *quarantiner.Register) {
+		for _, m := range news.Marks {
+			r.Learn(quarantiner.Mark{
+				Fingerprint: model.Fingerprint(m.Fingerprint),
+				Crashes:     int(m.Crashes),
+				ExpiresIn:   timekeeper.Millis(m.ExpiresInMs),
+			}, p.g.clock.Now())
+		}
+	})
+}
+
+// Trade answers another gateway.
+func (p *peers) Trade(_ context.Context, r *messenger.TradeRequest) (*messenger.TradeResponse, error) {
+	p.learn(r.News)
+	p.learnPlacements(r.Placements)
+	placements, next := p.placementsFor(r.News.GetAddress())
+	p.told(r.News.GetAddress(), next)
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+
+	return &messenger.TradeResponse{
+		News:       p.news(),
+		Operator:   copyFor(r.Operator, p.g.operator),
+		Endpoints:  copyFor(r.Endpoints, p.g.endpoints),
+		Placements: placements,
+	}, nil
+}
--- a/sidecar/internal/settings/settings_test.go
+++ b/sidecar/internal/settings/settings_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"os"
-	"strings"
 	"testing"
+
+	"cardamompulley/fleet/loader"
 )
 
 func TestOptionsMatchThePage(t *testing.T) {
@@ -12,9 +13,7 @@
 		t.Fatal(err)
 	}
 	s := NewSettings()
-	for _, o := range Options(&s) {
-		if !strings.Contains(string(page), o.Row()) {
-			t.Errorf("docs/CONFIGURATION.md lacks: %s", o.Row())
-		}
+	for _, row := range loader.Missing(string(page), Options(&s)) {
+		t.Errorf("docs/CONFIGURATION.md lacks: %s", row)
 	}
 }
