Loads of other gateways relayed, and a load bound by their age

Change: trades every 125 ms with the newest loads of others, packed to three bytes a running request, over HTTP/2, under a budget of 10 KB/s; the share of the bound that is used falls from 1 to 0.8 with the age of the counts. `make slopes` measures gateways.

--- a/experimenter/internal/bencher/gateway.go
+++ b/experimenter/internal/bencher/gateway.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -19,16 +15,11 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
-// errStat means that the kernel's figures of a process could not be read.
-var errStat = errors.New("bencher: no figures of a process")
-
 const (
 	openStreams = 200
 	// settleSpan lets streams begin before memory is read.
 	settleSpan = timekeeper.Second
 	pacedGets  = 200
-	// ticksPerSecond is the unit of processor time in the kernel's figures.
-	ticksPerSecond = 100
 )
 
 // RunGateways loads the gateway's way beside the direct one, and reports its processor time and memory.
@@ -48,13 +39,13 @@
 	}
 	printHead(out)
 	for _, t := range rows {
-		before, err := processorTime(gateway.ID())
+		before, err := gateway.ProcessorTime()
 		if err != nil {
 			return err
 		}
 		samples, failed := load(t, pacedWorkers, pacedGets)
 		print(out, t.name, samples, failed)
-		after, err := processorTime(gateway.ID())
+		after, err := gateway.ProcessorTime()
 		if err != nil {
 			return err
 		}
@@ -75,7 +66,7 @@
 		w.Go(func() { _, _ = caller.SendToGateway(ctx, chat) })
 	}
 	time.Sleep(settleSpan.Duration())
-	memory, err := residentMB(g.ID())
+	memory, err := g.ResidentMB()
 	cancel()
 	w.Wait()
 	if err != nil {
@@ -85,40 +76,3 @@
 
 	return nil
 }
-
-// processorTime returns the seconds of processor time that a process has used.
-func processorTime(id int) (float64, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
-	if err != nil {
-		return 0, fmt.Errorf("%w: %w", errStat, err)
-	}
-	const userField, systemField = 11, 12
-	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+1:]))
-	user, err := strconv.ParseFloat(fields[userField], 64)
-	if err != nil {
-		return 0, fmt.Errorf("%w: %w", errStat, err)
-	}
-	system, err := strconv.ParseFloat(fields[systemField], 64)
-	if err != nil {
-		return 0, fmt.Errorf("%w: %w", errStat, err)
-	}
-
-	return (user + system) / ticksPerSecond, nil
-}
-
-func residentMB(id int) (float64, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", id))
-	if err != nil {
-		return 0, fmt.Errorf("%w: %w", errStat, err)
-	}
-	_, rest, ok := strings.Cut(string(raw), "VmRSS:")
-	if !ok {
-		return 0, fmt.Errorf("%w: process %d", errStat, id)
-	}
-	kb, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-	if err != nil {
-		return 0, fmt.Errorf("%w: %w", errStat, err)
-	}
-
-	return kb / 1024, nil
-}
--- a/experimenter/internal/cli/slopes.go
+++ b/experimenter/internal/cli/slopes.go
@@ -29,6 +29,12 @@
 		return subcommands.ExitFailure
 	}
 	sloper.Print(s.out, results)
+	fmt.Fprintln(s.out)
+	if err := sloper.MeasureGateways(s.out, programs()); err != nil {
+		fmt.Fprintln(s.errs, err)
+
+		return subcommands.ExitFailure
+	}
 
 	return subcommands.ExitSuccess
 }
--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// reportLifetime is how long the counts of another gateway are believed.
-	reportLifetime = 3 * timekeeper.Second
 	// rememberedSessions bounds the memory of sessions, at about 100 bytes each.
 	rememberedSessions = 20_000
 	// sessionLifetime is how long a cached prompt is expected to stay with its endpoint.
@@ -56,7 +54,10 @@
 
 // member is what a gateway knows of one endpoint beyond its entry.
 type member struct {
+	// id is empty while only reports have named the endpoint.
+	id      model.EndpointID
 	seed    uint64
+	code    Code
 	running int
 	// remote is the sum of the running requests that other gateways have reported.
 	remote  int
@@ -71,17 +72,17 @@
 	Journal locator.Journal
 
 	// multiple is the largest allowed multiple of the mean load of a service.
+	self     Code
 	multiple float64
 	domain   model.DomainID
 	colds    *budgeter.Colds
 	members  map[model.EndpointID]*member
-	located  *locator.Locator
-	reports  map[string]report
-}
-
-type report struct {
-	at      timekeeper.Millis
-	running map[model.EndpointID]int
+	// codes holds the members by their codes, also those that only reports have named.
+	codes   map[Code]*member
+	located *locator.Locator
+	reports map[Code]Report
+	// reportedAt is the sum of the instants of the reports.
+	reportedAt timekeeper.Millis
 }
 
 // NewBalancer returns the balancer of a gateway at an address in a failure domain; no endpoint is to carry more than a
@@ -89,68 +90,44 @@
 func NewBalancer(multiple float64, self string, d model.DomainID, r *budgeter.Roster) *Balancer {
 	return &Balancer{
 		Roster:   r,
+		self:     CodeOf(self),
 		multiple: multiple,
 		domain:   d,
 		colds:    budgeter.NewColds(self),
 		members:  map[model.EndpointID]*member{},
+		codes:    map[Code]*member{},
 		located:  locator.NewLocator(rememberedSessions, sessionLifetime),
-		reports:  map[string]report{},
+		reports:  map[Code]Report{},
 	}
 }
 
 func (b *Balancer) member(id model.EndpointID) *member {
 	m, ok := b.members[id]
 	if !ok {
-		m = &member{seed: xxhash.Sum64String(string(id))}
+		m = b.coded(CodeOf(id))
+		m.id = id
+		m.seed = xxhash.Sum64String(string(id))
 		b.members[id] = m
 	}
 
 	return m
 }
 
-// Report takes the running counts of another gateway in place of its last ones.
-func (b *Balancer) Report(gateway string, running map[model.EndpointID]int, now timekeeper.Millis) {
-	b.drop(gateway)
-	b.reports[gateway] = report{at: now, running: running}
-	for id, n := range running {
-		b.member(id).remote += n
-	}
-}
-
-// drop takes back what a gateway has reported.
-func (b *Balancer) drop(gateway string) {
-	for id, n := range b.reports[gateway].running {
-		b.member(id).remote -= n
-	}
-	delete(b.reports, gateway)
-}
-
-// Expire drops the counts of gateways that have not reported lately.
-func (b *Balancer) Expire(now timekeeper.Millis) {
-	for gateway, r := range b.reports {
-		if now-r.at >= reportLifetime {
-			b.drop(gateway)
-		}
+func (b *Balancer) coded(c Code) *member {
+	m, ok := b.codes[c]
+	if !ok {
+		m = &member{code: c}
+		b.codes[c] = m
 	}
-}
 
-// Learn takes placements of another gateway.
-func (b *Balancer) Learn(ps []locator.Placement, now timekeeper.Millis) {
-	for _, p := range ps {
-		b.located.Note(p.Part, p.Endpoint, now)
-	}
+	return m
 }
 
-// Running returns this gateway's own running counts.
-func (b *Balancer) Running() map[model.EndpointID]int {
-	running := map[model.EndpointID]int{}
-	for id, m := range b.members {
-		if m.running > 0 {
-			running[id] = m.running
-		}
+// Learn notes that another gateway has had a part of a prompt read at an endpoint; endpoints unknown here are left out.
+func (b *Balancer) Learn(part locator.PartCode, endpoint Code, now timekeeper.Millis) {
+	if m, ok := b.codes[endpoint]; ok && m.id != "" {
+		b.located.Note(part, m.id, now)
 	}
-
-	return running
 }
 
 // Load returns the running requests of an endpoint over all gateways that have reported.
@@ -198,9 +175,10 @@
 
 // Keep forgets endpoints that are neither known nor in use.
 func (b *Balancer) Keep(known func(model.EndpointID) bool) {
-	for id, m := range b.members {
-		if m.running == 0 && m.remote == 0 && !known(id) {
-			delete(b.members, id)
+	for code, m := range b.codes {
+		if m.running == 0 && m.remote == 0 && (m.id == "" || !known(m.id)) {
+			delete(b.members, m.id)
+			delete(b.codes, code)
 		}
 	}
 	b.colds.Keep(known)
--- a/fleet/balancer/balancer_test.go
+++ b/fleet/balancer/balancer_test.go
@@ -156,7 +156,10 @@
 	if len(told) != 4 || next != 4 {
 		t.Fatalf("%d placements are told up to %d", len(told), next)
 	}
-	second.Learn(told, 2)
+	second.Load(spilled.Endpoint.ID)
+	for _, p := range told {
+		second.Learn(p.Part, CodeOf(p.Endpoint), 2)
+	}
 	second.Fail(home.Endpoint.ID, 2)
 	fill(second, spilled.Endpoint.ID)
 	c, _ := second.Choose(v, q, 3)
@@ -222,12 +225,24 @@
 	}
 }
 
+// report builds a report from endpoints and counts in turn.
+func report(gateway string, at timekeeper.Millis, pairs ...any) Report {
+	r := Report{Gateway: CodeOf(gateway), At: at}
+	for i := 0; i < len(pairs); i += 2 {
+		r.Uses = append(r.Uses, Use{Endpoint: CodeOf(pairs[i].(string)), Running: pairs[i+1].(int)})
+	}
+
+	return r
+}
+
 func TestReportsReplaceEachOtherAndExpire(t *testing.T) {
 	b := newTestBalancer()
 	b.Start("e", 0)
-	b.Report("other", map[model.EndpointID]int{"e": 5, "f": 1}, 0)
-	b.Report("other", map[model.EndpointID]int{"e": 2}, 10)
-	b.Report("third", map[model.EndpointID]int{"e": 4}, 20)
+	b.Report(report("other", 0, "e", 5, "f", 1), 0)
+	b.Report(report("other", 10, "e", 2), 10)
+	b.Report(report("third", 20, "e", 4), 20)
+	b.Report(report("other", 5, "e", 9), 21)
+	b.Report(report("self", 21, "e", 9), 21)
 	if e, f := b.Load("e"), b.Load("f"); e != 7 || f != 0 {
 		t.Fatalf("loads %d and %d", e, f)
 	}
@@ -242,11 +257,12 @@
 	v := world(5, 168)
 	x := newTestBalancer()
 	for g := range 24 {
-		running := map[model.EndpointID]int{}
+		r := report(fmt.Sprintf("gateway-%d", g), 0)
 		for n := range 16 {
-			running[model.EndpointID(fmt.Sprintf("e-%d-%d", n%5, (g*7+n)%168))] = 1
+			id := model.EndpointID(fmt.Sprintf("e-%d-%d", n%5, (g*7+n)%168))
+			r.Uses = append(r.Uses, Use{Endpoint: CodeOf(id), Running: 1})
 		}
-		x.Report(fmt.Sprintf("gateway-%d", g), running, 0)
+		x.Report(r, 0)
 	}
 	q := sessionQuery()
 	for n := 0; b.Loop(); n++ {
--- a/fleet/balancer/choose.go
+++ b/fleet/balancer/choose.go
@@ -37,7 +37,7 @@
 		return b.byLoad(x), nil
 	}
 	c := b.bySession(x, q, now)
-	c.Reads = !contains(b.located.Holders(q.Session, now), c.Endpoint.ID)
+	c.Reads = !contains(b.located.Holders(locator.CodeOf(q.Session), now), c.Endpoint.ID)
 	c.Source = b.source(v, q, c.Endpoint, now)
 	b.place(q, c.Endpoint.ID, now)
 
@@ -47,8 +47,9 @@
 // place remembers that an endpoint reads the shared parts of a prompt, and has what is news told to other gateways.
 func (b *Balancer) place(q Query, id model.EndpointID, now timekeeper.Millis) {
 	for _, p := range q.Shared {
-		if b.located.Note(p.ID, id, now) {
-			b.Journal.Add(locator.Placement{Part: p.ID, Endpoint: id})
+		part := locator.CodeOf(p.ID)
+		if b.located.Note(part, id, now) {
+			b.Journal.Add(locator.Placement{Part: part, Endpoint: id})
 		}
 	}
 }
@@ -119,8 +120,8 @@
 // first in the session's own order; if that one is over the bound, another holder, else a near endpoint.
 func (b *Balancer) bySession(x survey, q Query, now timekeeper.Millis) Choice {
 	cs := x.candidates
-	limit := int(b.multiple*x.mean) + loadFloor
-	holders := b.located.Holders(q.Session, now)
+	limit := int(b.boundShare(now)*b.multiple*x.mean) + loadFloor
+	holders := b.located.Holders(locator.CodeOf(q.Session), now)
 	head := first(cs, func(*candidate) bool { return true })
 	under := func(c *candidate) bool { return c.load < limit }
 	near := func(c *candidate) bool { return under(c) && c.endpoint.Domain == b.domain }
--- a/fleet/balancer/source.go
+++ b/fleet/balancer/source.go
@@ -3,6 +3,7 @@
 import (
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/hasher"
+	"cardamompulley/fleet/locator"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
@@ -13,7 +14,7 @@
 // source finds where the chosen endpoint can fetch what it lacks of the prompt: at a holder of the longest known part.
 func (b *Balancer) source(v *cataloguer.View, q Query, chosen *cataloguer.Endpoint, now timekeeper.Millis) *cataloguer.Endpoint {
 	for i := len(q.Shared) - 1; i >= 0; i-- {
-		holders := b.located.Holders(q.Shared[i].ID, now)
+		holders := b.located.Holders(locator.CodeOf(q.Shared[i].ID), now)
 		if contains(holders, chosen.ID) {
 			return nil
 		}
--- a/fleet/counter/counter.go
+++ b/fleet/counter/counter.go
@@ -23,13 +23,19 @@
 
 // Dial opens a counted TCP connection.
 func (c *Counter) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
+	return c.Through(&net.Dialer{})(ctx, network, address)
+}
+
+// Through returns what opens counted connections by a dialer.
+func (c *Counter) Through(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
 
-	return countedConn{Conn: conn, counter: c}, nil
+		return countedConn{Conn: conn, counter: c}, nil
+	}
 }
 
 type countedListener struct {
--- a/fleet/locator/journal.go
+++ b/fleet/locator/journal.go
@@ -7,7 +7,7 @@
 
 // Placement says that an endpoint has read a part of a prompt.
 type Placement struct {
-	Part     uint64
+	Part     PartCode
 	Endpoint model.EndpointID
 }
 
@@ -26,13 +26,13 @@
 	}
 }
 
-// Since returns the placements from a number on, at most so many, and the number to go on from.
+// Since returns the placements from a number on, the newest if there are more than so many, and the number to go on from.
 func (j *Journal) Since(number uint64, most int) ([]Placement, uint64) {
-	at := max(number, j.first)
-	rest := j.placements[min(at-j.first, uint64(len(j.placements))):]
-	if len(rest) > most {
-		rest = rest[:most]
+	end := j.first + uint64(len(j.placements))
+	at := min(max(number, j.first), end)
+	if end-at > uint64(most) {
+		at = end - uint64(most)
 	}
 
-	return append([]Placement(nil), rest...), at + uint64(len(rest))
+	return append([]Placement(nil), j.placements[at-j.first:]...), end
 }
--- a/fleet/locator/locator.go
+++ b/fleet/locator/locator.go
@@ -3,36 +3,45 @@
 import (
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"cardamompulley/fleet/hasher"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
 
-// maxHolders is the number of endpoints remembered for a session.
+// PartCode stands for a part of a prompt; two parts that a fleet remembers hardly ever share one.
+type PartCode uint32
+
+// CodeOf returns the code of a part of a prompt.
+func CodeOf(part uint64) PartCode {
+	return PartCode(hasher.Mix(part))
+}
+
+// maxHolders is the number of endpoints remembered for a part.
 const maxHolders = 3
 
-// holder is an endpoint that has read the prompt of a session.
+// holder is an endpoint that has read a part.
 type holder struct {
 	endpoint model.EndpointID
 	at       timekeeper.Millis
 }
 
-// Locator is a bounded memory of sessions; the least recently used are forgotten.
+// Locator is a bounded memory of where parts of prompts are; the least recently used are forgotten.
 type Locator struct {
 	lifetime timekeeper.Millis
-	sessions *lru.Cache[uint64, []holder]
+	parts    *lru.Cache[PartCode, []holder]
 }
 
-// NewLocator returns an empty memory of so many sessions, each believed for a lifetime after its last use.
-func NewLocator(sessions int, lifetime timekeeper.Millis) *Locator {
+// NewLocator returns an empty memory of so many parts, each believed for a lifetime after its last use.
+func NewLocator(parts int, lifetime timekeeper.Millis) *Locator {
 	// The only error of lru.New is a size below one.
-	cache, _ := lru.New[uint64, []holder](max(sessions, 1))
+	cache, _ := lru.New[PartCode, []holder](max(parts, 1))
 
-	return &Locator{lifetime: lifetime, sessions: cache}
+	return &Locator{lifetime: lifetime, parts: cache}
 }
 
-// Note remembers that an endpoint has read the prompt of a session and tells whether that is news.
-func (l *Locator) Note(session uint64, id model.EndpointID, now timekeeper.Millis) bool {
-	known, _ := l.sessions.Get(session)
+// Note remembers that an endpoint has read a part of a prompt and tells whether that is news.
+func (l *Locator) Note(part PartCode, id model.EndpointID, now timekeeper.Millis) bool {
+	known, _ := l.parts.Get(part)
 	news := true
 	next := make([]holder, 0, maxHolders)
 	next = append(next, holder{endpoint: id, at: now})
@@ -44,14 +53,14 @@
 			next = append(next, h)
 		}
 	}
-	l.sessions.Add(session, next)
+	l.parts.Add(part, next)
 
 	return news
 }
 
-// Holders returns the endpoints that hold the prompt of a session, the last used first.
-func (l *Locator) Holders(session uint64, now timekeeper.Millis) []model.EndpointID {
-	known, _ := l.sessions.Get(session)
+// Holders returns the endpoints that hold a part of a prompt, the last used first.
+func (l *Locator) Holders(part PartCode, now timekeeper.Millis) []model.EndpointID {
+	known, _ := l.parts.Get(part)
 	ids := make([]model.EndpointID, 0, len(known))
 	for _, h := range known {
 		if now-h.at < l.lifetime {
--- a/fleet/locator/locator_test.go
+++ b/fleet/locator/locator_test.go
@@ -32,15 +32,20 @@
 func TestJournalGoesOnWhereItWasRead(t *testing.T) {
 	var j Journal
 	for n := range uint64(maxPlacements + 10) {
-		j.Add(Placement{Part: n})
+		j.Add(Placement{Part: PartCode(n)})
 	}
-	old, next := j.Since(0, 5)
-	if len(old) != 5 || old[0].Part != 10 || next != 15 {
-		t.Fatalf("%v up to %d", old, next)
+	all, end := j.Since(0, maxPlacements)
+	if len(all) != maxPlacements || all[0].Part != 10 || end != maxPlacements+10 {
+		t.Fatalf("%d up to %d", len(all), end)
 	}
-	rest, end := j.Since(next, maxPlacements)
-	if len(rest) != maxPlacements-5 || rest[0].Part != 15 || end != maxPlacements+10 {
-		t.Fatalf("%d more up to %d", len(rest), end)
+	newest, end := j.Since(0, 5)
+	if len(newest) != 5 || newest[0].Part != maxPlacements+5 || end != maxPlacements+10 {
+		t.Fatalf("%v up to %d", newest, end)
+	}
+	j.Add(Placement{Part: 1})
+	rest, end := j.Since(end, 5)
+	if len(rest) != 1 || rest[0].Part != 1 || end != maxPlacements+11 {
+		t.Fatalf("%v more up to %d", rest, end)
 	}
 	if none, again := j.Since(end, 5); len(none) != 0 || again != end {
 		t.Fatalf("%v up to %d", none, again)
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -11,19 +11,28 @@
 
 	"cardamompulley/fleet/balancer"
 	"cardamompulley/fleet/budgeter"
+	"cardamompulley/fleet/exchanger"
 	"cardamompulley/fleet/messenger/messengerconnect"
 	"cardamompulley/fleet/timekeeper"
 )
 
 const (
-	tradeInterval = 250 * timekeeper.Millis(1)
-	tradeTimeout  = 600 * timekeeper.Millis(1)
+	// tradeInterval is between the trades that a gateway starts, unless controlBytes a second are used up.
+	tradeInterval = 125 * timekeeper.Millis(1)
+	// controlBytes bounds the traffic with other gateways in both directions, the users' bound.
+	controlBytes = 10_000
+	controlBurst = controlBytes
+	// mostCharged bounds what one interval is charged for, so that a copied range of the store does not end the trades.
+	mostCharged  = controlBytes / 2
+	tradeTimeout = 600 * timekeeper.Millis(1)
 	// tradesAtOnce is the number of gateways asked in one interval.
 	tradesAtOnce = 1
-	// maxPlacements bounds the placements of one trade.
-	maxPlacements = 64
-	// maxNames bounds the gateways named in one trade; each trade names the next ones.
-	maxNames = 4
+	// maxPlacements bounds the placements of one message.
+	maxPlacements = 24
+	// loadBytes bounds the loads told in one message.
+	loadBytes = 140
+	// maxNames bounds the gateways named in one trade; each trade names the next one.
+	maxNames = 1
 )
 
 // peers knows the other gateways and trades with them.
@@ -37,6 +46,9 @@
 	next    int
 	named   int
 	clients map[string]messengerconnect.GatewayClient
+	// budget bounds the traffic; counted is what it has been charged for.
+	budget  *exchanger.Budget
+	counted int64
 }
 
 type peer struct {
@@ -50,9 +62,10 @@
 func newPeers(g *Gateway) *peers {
 	p := &peers{
 		g:       g,
-		client:  &http.Client{Transport: &http.Transport{DialContext: g.control.Dial, MaxIdleConnsPerHost: 1}},
+		client:  &http.Client{Transport: newPeerTransport(&g.control)},
 		known:   map[string]*peer{},
 		clients: map[string]messengerconnect.GatewayClient{},
+		budget:  exchanger.NewBudget(controlBytes, controlBurst, g.clock.Now()),
 	}
 	p.meet(g.settings.Seeds)
 
@@ -105,12 +118,24 @@
 	var w conc.WaitGroup
 	defer w.Wait()
 	for timekeeper.Pause(ctx, tradeInterval) {
+		if !p.affords() {
+			continue
+		}
 		for _, address := range p.turn() {
 			w.Go(func() { p.trade(ctx, address) })
 		}
 	}
 }
 
+// affords tells whether the traffic so far leaves room for another trade.
+func (p *peers) affords() bool {
+	total, now := p.g.control.Total(), p.g.clock.Now()
+	p.budget.Spend(int(min(total-p.counted, mostCharged)), now)
+	p.counted = total
+
+	return p.budget.Allows(now)
+}
+
 // turn returns the gateways to ask next, each in its turn.
 func (p *peers) turn() []string {
 	p.mu.Lock()
--- a/router/internal/gateway/placements.go
+++ b/router/internal/gateway/placements.go
@@ -4,12 +4,10 @@
 	"cardamompulley/fleet/balancer"
 	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/locator"
-	"cardamompulley/fleet/messenger"
-	"cardamompulley/fleet/model"
 )
 
 // placementsFor returns what another gateway has not been told, and the number of the next placement to tell.
-func (p *peers) placementsFor(address string) ([]*messenger.Placement, uint64) {
+func (p *peers) placementsFor(address string) ([]byte, uint64) {
 	p.mu.Lock()
 	from := uint64(0)
 	if k, ok := p.known[address]; ok {
@@ -21,12 +19,8 @@
 	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
 		fresh, next = b.Journal.Since(from, maxPlacements)
 	})
-	placements := make([]*messenger.Placement, 0, len(fresh))
-	for _, f := range fresh {
-		placements = append(placements, &messenger.Placement{Part: f.Part, Endpoint: string(f.Endpoint)})
-	}
 
-	return placements, next
+	return encodePlacements(fresh), next
 }
 
 func (p *peers) told(address string, next uint64) {
@@ -37,13 +31,14 @@
 	}
 }
 
-func (p *peers) learnPlacements(told []*messenger.Placement) {
-	if len(told) == 0 {
+func (p *peers) learnPlacements(told []byte) {
+	placements := decodePlacements(told)
+	if len(placements) == 0 {
 		return
 	}
-	placements := make([]locator.Placement, 0, len(told))
-	for _, t := range told {
-		placements = append(placements, locator.Placement{Part: t.Part, Endpoint: model.EndpointID(t.Endpoint)})
-	}
-	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) { b.Learn(placements, p.g.clock.Now()) })
+	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
+		for _, t := range placements {
+			b.Learn(t.part, t.endpoint, p.g.clock.Now())
+		}
+	})
 }
--- a/router/internal/gateway/serve.go
+++ b/router/internal/gateway/serve.go
@@ -118,7 +118,7 @@
 
 // servers returns what answers at each listener.
 func (g *Gateway) servers(callers *callerServer) map[string]func(net.Listener) error {
-	trades := &http.Server{Handler: g.peers.handler(), ReadHeaderTimeout: pageTimeout.Duration()}
+	trades := newPeerServer(g.peers.handler())
 	plain := func(h http.Handler) func(net.Listener) error {
 		server := &http.Server{Handler: h, ReadHeaderTimeout: pageTimeout.Duration()}
 
--- a/router/internal/gateway/trade.go
+++ b/router/internal/gateway/trade.go
@@ -16,7 +16,7 @@
 func (p *peers) trade(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, tradeTimeout.Duration())
 	defer cancel()
-	request := p.request()
+	request := p.request(address)
 	placements, next := p.placementsFor(address)
 	request.Placements = placements
 	response, err := p.clientOf(address).Trade(ctx, request)
@@ -54,12 +54,12 @@
 	}
 }
 
-func (p *peers) request() *messenger.TradeRequest {
+func (p *peers) request(receiver string) *messenger.TradeRequest {
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
 
 	return &messenger.TradeRequest{
-		News:      p.news(),
+		News:      p.news(receiver),
 		Operator:  p.stateOf(p.g.operator),
 		Endpoints: p.stateOf(p.g.endpoints),
 	}
@@ -75,16 +75,17 @@
 	}
 }
 
-// news is what this gateway says of itself; the caller holds the gateway's lock.
-func (p *peers) news() *messenger.GatewayNews {
+// news is what this gateway tells another one; the caller holds the gateway's lock.
+func (p *peers) news(receiver string) *messenger.GatewayNews {
 	news := &messenger.GatewayNews{Address: p.g.settings.PeerListen, StoreSilenceMs: -1}
 	if heard := p.g.endpoints.Heard(); heard > 0 {
 		news.StoreSilenceMs = int64(p.g.clock.Now() - heard)
 	}
 	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
-		news.Gateways = p.nextNames(b.Roster.Vouched(p.g.clock.Now()))
-		for id, n := range b.Running() {
-			news.Uses = append(news.Uses, &messenger.EndpointUse{Endpoint: string(id), Running: uint32(n)})
+		now := p.g.clock.Now()
+		news.Gateways = p.nextNames(b.Roster.Vouched(now))
+		for _, r := range b.Reports(balancer.CodeOf(receiver), loadBytes, now) {
+			news.Loads = appendReport(news.Loads, r, now)
 		}
 	})
 	p.g.forward.Marks(func(r *quarantiner.Register) {
@@ -122,13 +123,12 @@
 		p.g.endpoints.HeardElsewhere(p.g.clock.Now() - timekeeper.Millis(news.StoreSilenceMs))
 		p.g.mu.Unlock()
 	}
-	running := make(map[model.EndpointID]int, len(news.Uses))
-	for _, u := range news.Uses {
-		running[model.EndpointID(u.Endpoint)] = int(u.Running)
-	}
 	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
-		b.Report(news.Address, running, p.g.clock.Now())
-		b.Roster.Traded(news.Address, p.g.clock.Now())
+		now := p.g.clock.Now()
+		for _, r := range decodeReports(news.Loads, now) {
+			b.Report(r, now)
+		}
+		b.Roster.Traded(news.Address, now)
 	})
 	p.g.forward.Marks(func(r *quarantiner.Register) {
 		for _, m := range news.Marks {
@@ -151,7 +151,7 @@
 	defer p.g.mu.Unlock()
 
 	return &messenger.TradeResponse{
-		News:       p.news(),
+		News:       p.news(r.News.GetAddress()),
 		Operator:   copyFor(r.Operator, p.g.operator),
 		Endpoints:  copyFor(r.Endpoints, p.g.endpoints),
 		Placements: placements,
