One dispatcher for the own interface and the platform

Two loops decided what may be sent again: dispatcher (own interface, retrier.Decide with a token budget) and forwarder.goOn (platform, budgeter.Retries), with the same rules for runs, arrivals and outcomes written twice.

Ruled out: one transport for both. The own interface hands requests to sidecars, which queue, admit and remember keys; the platform's endpoints are spoken to directly.

Change: router/internal/dispatcher drives a request over its attempts through functions; retrier.Request.Decide holds every rule of what follows a failed attempt; budgeter.Retries is the one budget. A refused dial before any arrival is no longer charged on the own interface either, and Retry-After is the longer one of the last attempt's and the choice's.

--- a/fleet/retrier/retrier.go
+++ b/fleet/retrier/retrier.go
@@ -1,51 +1,46 @@
 package retrier
 
 import (
-	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
 
-const (
-	retryShare   = 0.1
-	retryBurst   = 20.0
-	maxRetries   = 3
-	maxRedirects = 4
-	minTimeLeft  = 50 * timekeeper.Millis(1)
-)
-
-// Budget holds the retries that first tries have earned; redirects by sidecars are not charged, they never reach an endpoint.
-type Budget struct {
-	tokens float64
-}
-
-// NewBudget returns a full budget.
-func NewBudget() *Budget {
-	return &Budget{tokens: retryBurst}
-}
-
-// Earn notes a first try.
-func (b *Budget) Earn() {
-	b.tokens = min(retryBurst, b.tokens+retryShare)
+// maxRedirects bounds the endpoints that one request is handed on to; handing on is not charged to a budget.
+const maxRedirects = 4
+
+// Policy is how often a request may be sent.
+type Policy struct {
+	// Repeatable requests may run more than once.
+	Repeatable bool
+	// MaxRuns bounds the endpoints that may run a repeatable request, and MaxRetries its charged retries; zero is no bound.
+	MaxRuns    int
+	MaxRetries int
+	// Deadline is when the answer is due, and MinLeft the time that another attempt takes at least.
+	Deadline timekeeper.Millis
+	MinLeft  timekeeper.Millis
 }
 
-// Spend takes one retry and returns false when the budget is empty.
-func (b *Budget) Spend() bool {
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-
-	return true
+// Fault is what an attempt that did not serve its request shows.
+type Fault struct {
+	// MayHaveRun is true unless the endpoint certainly did not run the request.
+	MayHaveRun bool
+	// Arrived is true when the request reached an endpoint.
+	Arrived bool
+	// Redirected means that a sidecar handed the request on before its endpoint saw anything of it.
+	Redirected bool
+	// Final means that no other attempt can help.
+	Final bool
 }
 
 // Request is what one request has used up so far.
 type Request struct {
-	Idempotent bool
-	Keyed      bool
-	Sent       bool
-	Retries    int
-	Redirects  int
-	Deadline   timekeeper.Millis
+	Policy
+
+	// Runs is the number of endpoints that may have run the request.
+	Runs int
+	// Arrivals is the number of endpoints that it has reached.
+	Arrivals  int
+	Retries   int
+	Redirects int
 }
 
 // Action says what follows a failed attempt.
@@ -59,26 +54,23 @@
 	ActionNoBudget Action = "no-budget"
 )
 
-// Decide says what follows a refusal; it updates the request and spends from the budget.
-func Decide(r *Request, refusal *model.Refusal, b *Budget, now timekeeper.Millis) Action {
-	if refusal.Final || r.Sent || now+minTimeLeft >= r.Deadline {
+// Decide notes a failed attempt and says what follows; spend takes a retry from the budget, or returns false. Attempts
+// that reach nobody are not charged before the first that does.
+func (r *Request) Decide(f Fault, spend func() bool, now timekeeper.Millis) Action {
+	r.note(f)
+	if f.Final || now+r.MinLeft >= r.Deadline {
 		return ActionGiveUp
 	}
-	if !repeatable(r, refusal) {
+	if f.MayHaveRun && (!r.Repeatable || r.MaxRuns > 0 && r.Runs >= r.MaxRuns) {
 		return ActionGiveUp
 	}
-	if isRedirect(refusal.Code) {
-		if r.Redirects >= maxRedirects {
-			return ActionGiveUp
-		}
-		r.Redirects++
-
-		return ActionRedirect
+	if f.Redirected {
+		return r.redirect()
 	}
-	if r.Retries >= maxRetries {
+	if r.MaxRetries > 0 && r.Retries >= r.MaxRetries {
 		return ActionGiveUp
 	}
-	if !b.Spend() {
+	if r.Arrivals > 0 && !spend() {
 		return ActionNoBudget
 	}
 	r.Retries++
@@ -86,21 +78,20 @@
 	return ActionRetry
 }
 
-func repeatable(r *Request, refusal *model.Refusal) bool {
-	if r.Keyed {
-		return refusal.Code == model.CodeNotHome || refusal.Code == model.CodeStale
+func (r *Request) note(f Fault) {
+	if f.MayHaveRun {
+		r.Runs++
+	}
+	if f.Arrived {
+		r.Arrivals++
 	}
-
-	return refusal.Outcome == model.OutcomeNotRun || r.Idempotent
 }
 
-// isRedirect tells whether a sidecar turned the request away before its endpoint saw anything of it.
-func isRedirect(code model.Code) bool {
-	switch code {
-	case model.CodeMovedChat, model.CodeAboveBound, model.CodeCold, model.CodeLeaving,
-		model.CodeDomainOut, model.CodeStale, model.CodeNotHome, model.CodeOverloaded, model.CodeSuspectBusy:
-		return true
-	default:
-		return false
+func (r *Request) redirect() Action {
+	if r.Redirects >= maxRedirects {
+		return ActionGiveUp
 	}
+	r.Redirects++
+
+	return ActionRedirect
 }
--- a/fleet/retrier/retrier_test.go
+++ b/fleet/retrier/retrier_test.go
@@ -3,68 +3,52 @@
 import (
 	"testing"
 
-	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
 
 func TestDecideTable(t *testing.T) {
-	refusal := func(code model.Code, o model.Outcome) *model.Refusal {
-		return model.NewRefusal(code, "").WithOutcome(o)
-	}
+	const late = timekeeper.Minute
+	repeatable := Policy{Repeatable: true, Deadline: late}
+	once := Policy{Deadline: late}
 	cases := []struct {
 		name    string
 		request Request
-		refusal *model.Refusal
+		fault   Fault
 		want    Action
+		// charged is whether the budget was asked.
+		charged bool
 	}{
-		{"not run", Request{Deadline: timekeeper.Minute}, refusal(model.CodeUnreachable, model.OutcomeNotRun), ActionRetry},
-		{"unknown, not idempotent", Request{Deadline: timekeeper.Minute}, refusal(model.CodeUnreachable, model.OutcomeUnknown), ActionGiveUp},
-		{"unknown, idempotent", Request{Idempotent: true, Deadline: timekeeper.Minute}, refusal(model.CodeEndpointFailed, model.OutcomeUnknown), ActionRetry},
-		{"keyed, unknown", Request{Keyed: true, Deadline: timekeeper.Minute}, refusal(model.CodeEndpointFailed, model.OutcomeUnknown), ActionGiveUp},
-		{"keyed, not run", Request{Keyed: true, Deadline: timekeeper.Minute}, refusal(model.CodeOverloaded, model.OutcomeNotRun), ActionGiveUp},
-		{"keyed, another home", Request{Keyed: true, Deadline: timekeeper.Minute}, refusal(model.CodeNotHome, model.OutcomeUnknown), ActionRedirect},
-		{"answer begun", Request{Idempotent: true, Sent: true, Deadline: timekeeper.Minute}, refusal(model.CodeIncomplete, model.OutcomeUnknown), ActionGiveUp},
-		{"no time left", Request{Idempotent: true, Deadline: 10}, refusal(model.CodeUnreachable, model.OutcomeNotRun), ActionGiveUp},
-		{"final", Request{Idempotent: true, Deadline: timekeeper.Minute}, refusal(model.CodeCondemned, model.OutcomeUnknown).AsFinal(), ActionGiveUp},
-		{"retries used up", Request{Idempotent: true, Retries: maxRetries, Deadline: timekeeper.Minute}, refusal(model.CodeUnreachable, model.OutcomeNotRun), ActionGiveUp},
-		{"redirects used up", Request{Redirects: maxRedirects, Deadline: timekeeper.Minute}, refusal(model.CodeMovedChat, model.OutcomeNotRun), ActionGiveUp},
+		{"not run", Request{Policy: once}, Fault{Arrived: true}, ActionRetry, true},
+		{"reached nobody", Request{Policy: once}, Fault{}, ActionRetry, false},
+		{"reached nobody after an arrival", Request{Policy: once, Arrivals: 1}, Fault{}, ActionRetry, true},
+		{"may have run, not repeatable", Request{Policy: once}, Fault{Arrived: true, MayHaveRun: true}, ActionGiveUp, false},
+		{"may have run, repeatable", Request{Policy: repeatable}, Fault{Arrived: true, MayHaveRun: true}, ActionRetry, true},
+		{"runs used up", Request{Policy: Policy{Repeatable: true, MaxRuns: 2, Deadline: late}, Runs: 1}, Fault{Arrived: true, MayHaveRun: true}, ActionGiveUp, false},
+		{"runs left", Request{Policy: Policy{Repeatable: true, MaxRuns: 3, Deadline: late}, Runs: 1}, Fault{Arrived: true, MayHaveRun: true}, ActionRetry, true},
+		{"handed on", Request{Policy: once}, Fault{Redirected: true}, ActionRedirect, false},
+		{"redirects used up", Request{Policy: once, Redirects: maxRedirects}, Fault{Redirected: true}, ActionGiveUp, false},
+		{"just in time", Request{Policy: Policy{Repeatable: true, Deadline: 10}}, Fault{}, ActionRetry, false},
+		{"less time than an attempt takes", Request{Policy: Policy{Repeatable: true, Deadline: 10, MinLeft: 10}}, Fault{}, ActionGiveUp, false},
+		{"deadline over", Request{Policy: Policy{Repeatable: true}}, Fault{}, ActionGiveUp, false},
+		{"final", Request{Policy: repeatable}, Fault{Arrived: true, Final: true}, ActionGiveUp, false},
+		{"retries used up", Request{Policy: Policy{Repeatable: true, MaxRetries: 3, Deadline: late}, Retries: 3}, Fault{}, ActionGiveUp, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if got := Decide(&c.request, c.refusal, NewBudget(), 0); got != c.want {
-				t.Fatalf("action = %s, want %s", got, c.want)
-			}
-		})
-	}
-}
+			charged := false
+			spend := func() bool {
+				charged = true
 
-func TestNoRetryStormAfterADomainIsLost(t *testing.T) {
-	const (
-		requests      = 10_000
-		mostPerFirst  = 1.2
-		lostOneInFive = 5
-	)
-	amplification := func(spend func(*Budget) bool) float64 {
-		b := NewBudget()
-		attempts := 0
-		for n := range requests {
-			attempts++
-			b.Earn()
-			for try := 0; try < maxRetries && (n+try)%lostOneInFive == 0 || (n%2 == 0 && try < maxRetries); try++ {
-				if !spend(b) {
-					break
-				}
-				attempts++
+				return true
 			}
-		}
-
-		return float64(attempts) / requests
-	}
-	if got := amplification((*Budget).Spend); got > mostPerFirst {
-		t.Fatalf("amplification %.2f", got)
+			if got := c.request.Decide(c.fault, spend, 0); got != c.want || charged != c.charged {
+				t.Fatalf("action = %s, charged = %v, want %s, %v", got, charged, c.want, c.charged)
+			}
+		})
 	}
-	if naive := amplification(func(*Budget) bool { return true }); naive <= mostPerFirst {
-		t.Fatalf("the naive variant amplifies by %.2f only", naive)
+	empty := Request{Policy: repeatable}
+	if got := empty.Decide(Fault{Arrived: true}, func() bool { return false }, 0); got != ActionNoBudget {
+		t.Fatalf("action = %s with an empty budget", got)
 	}
 }
 
--- a/router/internal/dispatcher/dispatcher.go
+++ b/router/internal/dispatcher/dispatcher.go
@@ -1,117 +1,66 @@
 package dispatcher
 
 import (
-	"context"
-	"net"
-	"net/http"
-	"sync"
-
-	"github.com/VictoriaMetrics/metrics"
-
-	"cardamompulley/fleet/follower"
-	"cardamompulley/fleet/messenger"
-	"cardamompulley/fleet/messenger/messengerconnect"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/retrier"
-	"cardamompulley/fleet/runner"
 	"cardamompulley/fleet/timekeeper"
-	"cardamompulley/fleet/tracer"
 )
 
-var (
-	firstTries = metrics.NewCounter("router_first_tries_total")
-	retries    = metrics.NewCounter("router_retries_total")
-	redirects  = metrics.NewCounter("router_redirects_total")
-	crossed    = metrics.NewCounter("router_crossed_answers_total")
-)
+// Failure is an attempt that did not serve its request.
+type Failure struct {
+	retrier.Fault
 
-const (
-	dialTimeout = 500 * timekeeper.Millis(1)
-	stalePause  = 100 * timekeeper.Millis(1)
-	markSpan    = timekeeper.Minute
-)
-
-// Request is one request of a caller.
-type Request struct {
-	Run      *messenger.RunRequest
-	Hint     model.EndpointID
-	Deadline timekeeper.Millis
+	// Refusal is what the caller is told if nothing better comes.
+	Refusal *model.Refusal
+	// Err is the cause for the log.
+	Err error
 }
 
-// Dispatcher sends requests for one router.
+// Dispatcher drives one request over its attempts; how an endpoint is chosen and spoken to is up to its functions.
 type Dispatcher struct {
-	follower *follower.Follower
-	tracer   *tracer.Tracer
-	token    string
-	domain   model.DomainID
-	http     *http.Client
-
-	mu     sync.Mutex
-	budget *retrier.Budget
-	// breakers are kept only for endpoints that have failed once.
-	breakers map[model.EndpointID]*retrier.Breaker
-	clients  map[string]messengerconnect.EndpointClient
+	// Request is what may be done for the request and what has been done.
+	Request retrier.Request
+	// Choose picks the endpoint of the next attempt, or says why there is none.
+	Choose func() *model.Refusal
+	// Attempt sends the request to the chosen endpoint; it returns nil once the caller is served.
+	Attempt func() *Failure
+	// Spend takes a retry from the budget, or returns false.
+	Spend func() bool
+	// Failed is told of every failed attempt and what follows it; the request ends if it returns false.
+	Failed func(*Failure, retrier.Action) bool
+	Now    func() timekeeper.Millis
 }
 
-// NewDispatcher returns the dispatcher of a router.
-func NewDispatcher(s follower.Settings, f *follower.Follower, t *tracer.Tracer) *Dispatcher {
-	transport := runner.NewTransport()
-	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
-	transport.DialContext = dialer.DialContext
-
-	return &Dispatcher{
-		follower: f,
-		tracer:   t,
-		token:    s.Token,
-		domain:   model.DomainID(s.Domain),
-		http:     &http.Client{Transport: transport},
-		budget:   retrier.NewBudget(),
-		breakers: map[model.EndpointID]*retrier.Breaker{},
-		clients:  map[string]messengerconnect.EndpointClient{},
-	}
-}
-
-// Dispatch returns the started answer of a request, or its final refusal.
-func (d *Dispatcher) Dispatch(ctx context.Context, r *Request) (*Answer, *model.Refusal) {
-	a := &attempt{
-		request:  r,
-		excluded: map[model.EndpointID]bool{},
-		used: retrier.Request{
-			Idempotent: r.Run.Idempotent,
-			Keyed:      r.Run.IdempotencyKey != "",
-			Deadline:   r.Deadline,
-		},
-	}
-	firstTries.Inc()
-	d.mu.Lock()
-	d.budget.Earn()
-	d.mu.Unlock()
+// Run makes attempts until the caller is served, and then returns nil, or until nothing more may be tried, and then
+// returns the last failure, if any, and what to tell the caller.
+func (d *Dispatcher) Run() (*Failure, *model.Refusal) {
+	var last *Failure
 	for {
-		t, refusal := d.choose(a)
-		if refusal != nil && refusal.Code == model.CodeNoEndpoint && a.last != nil {
-			refusal = a.last
-		}
-		if refusal != nil {
-			return nil, a.finish(refusal)
+		if refusal := d.Choose(); refusal != nil {
+			return last, d.outcome(last, refusal)
 		}
-		answer, refusal := d.try(ctx, a, t)
-		if refusal == nil {
-			return answer, nil
+		last = d.Attempt()
+		if last == nil {
+			return nil, nil
 		}
-		if !d.goOn(ctx, a, t, refusal) {
-			return nil, a.finish(refusal)
+		action := d.Request.Decide(last.Fault, d.Spend, d.Now())
+		goOn := d.Failed(last, action)
+		if !goOn || action == retrier.ActionGiveUp || action == retrier.ActionNoBudget {
+			return last, d.outcome(last, last.Refusal)
 		}
 	}
 }
 
-func (d *Dispatcher) client(address string) messengerconnect.EndpointClient {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	c, ok := d.clients[address]
-	if !ok {
-		c = messengerconnect.NewEndpointClient(d.http, "http://"+address, follower.WithToken(d.token))
-		d.clients[address] = c
+// outcome makes a refusal speak of the whole request and not only of its last attempt. That there is no other endpoint is
+// said only if nothing was tried.
+func (d *Dispatcher) outcome(last *Failure, refusal *model.Refusal) *model.Refusal {
+	if refusal.Code == model.CodeNoEndpoint && last != nil {
+		last.Refusal.RetryAfter = max(last.Refusal.RetryAfter, refusal.RetryAfter)
+		refusal = last.Refusal
+	}
+	if d.Request.Runs > 0 && refusal.Outcome == model.OutcomeNotRun {
+		refusal.Outcome = model.OutcomeUnknown
 	}
 
-	return c
+	return refusal
 }
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -12,8 +12,10 @@
 	"syscall"
 
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/retrier"
 	"cardamompulley/platform"
 	"cardamompulley/router/internal/connector"
+	"cardamompulley/router/internal/dispatcher"
 )
 
 // wholeBytes is the size up to which an answer is read to its end before it is passed on.
@@ -28,15 +30,6 @@
 	errBroken     = errors.New("forwarder: the stream broke off")
 )
 
-// failure is an attempt that did not serve the request.
-type failure struct {
-	err error
-	// ran is true when the endpoint may have run the request.
-	ran bool
-	// reply is the endpoint's own failure, to be passed on unchanged if nothing better comes.
-	reply *reply
-}
-
 // reply is an endpoint's answer that was read to its end.
 type reply struct {
 	status int
@@ -45,7 +38,7 @@
 }
 
 // attempt sends the request to the chosen endpoint and delivers its answer, or says why not.
-func (j *job) attempt() *failure {
+func (j *job) attempt() *dispatcher.Failure {
 	e := j.choice.Endpoint
 	conn, err := j.f.pool.Get(j.ctx, e.ID, e.Address)
 	if err != nil {
@@ -56,7 +49,7 @@
 			j.f.crashed(e.ID)
 		}
 
-		return &failure{err: err}
+		return j.failure(err, retrier.Fault{})
 	}
 	stop := context.AfterFunc(j.ctx, conn.Close)
 	defer stop()
@@ -81,10 +74,18 @@
 	return j.deliver(conn, response)
 }
 
+// failure describes an attempt that did not serve the request.
+func (j *job) failure(err error, f retrier.Fault) *dispatcher.Failure {
+	f.Final = j.lost()
+	refusal := model.NewRefusal(model.CodeEndpointFailed, "the endpoint did not serve the request: "+err.Error()).
+		WithRetryAfter(retryWait)
+
+	return &dispatcher.Failure{Fault: f, Refusal: refusal, Err: err}
+}
+
 // lose ends a connection whose request may have run.
-func (j *job) lose(conn *connector.Conn, err error) *failure {
+func (j *job) lose(conn *connector.Conn, err error) *dispatcher.Failure {
 	conn.Close()
-	j.sent++
 	if j.ctx.Err() == nil {
 		j.f.blame(j.choice.Endpoint.ID, j.fingerprint)
 	}
@@ -92,7 +93,7 @@
 		j.f.noteHealth(j.choice.Endpoint.ID, false)
 	}
 
-	return &failure{err: err, ran: true}
+	return j.failure(err, retrier.Fault{Arrived: true, MayHaveRun: true})
 }
 
 // release keeps a connection whose answer was read to its end, if it can carry another request.
@@ -112,17 +113,17 @@
 }
 
 // rejected notes an endpoint's word that it did not run the request.
-func (j *job) rejected(conn *connector.Conn, response *http.Response) *failure {
+func (j *job) rejected(conn *connector.Conn, response *http.Response) *dispatcher.Failure {
 	if _, whole, err := readStart(response); whole && err == nil {
 		j.release(conn, response)
 	} else {
 		conn.Close()
 	}
 
-	return &failure{err: fmt.Errorf("%w: status %d", errNotRun, response.StatusCode)}
+	return j.failure(fmt.Errorf("%w: status %d", errNotRun, response.StatusCode), retrier.Fault{Arrived: true})
 }
 
-func (j *job) deliver(conn *connector.Conn, response *http.Response) *failure {
+func (j *job) deliver(conn *connector.Conn, response *http.Response) *dispatcher.Failure {
 	kind, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	if kind == "text/event-stream" && response.StatusCode < 300 {
 		return j.deliverStream(conn, response)
@@ -138,11 +139,12 @@
 		return j.deliverLong(conn, response, start)
 	}
 	j.release(conn, response)
-	j.sent++
 	j.f.noteHealth(j.choice.Endpoint.ID, true)
 	a := &reply{status: response.StatusCode, header: outgoing(response.Header), body: start}
 	if a.status >= http.StatusInternalServerError || promises(a.status) {
-		return &failure{err: fmt.Errorf("%w: status %d", errOwnFailure, a.status), ran: true, reply: a}
+		j.reply = a
+
+		return j.failure(fmt.Errorf("%w: status %d", errOwnFailure, a.status), retrier.Fault{Arrived: true, MayHaveRun: true})
 	}
 	j.pass(a)
 
@@ -175,8 +177,7 @@
 }
 
 // deliverLong passes on an answer that is too long to be held, from its start on.
-func (j *job) deliverLong(conn *connector.Conn, response *http.Response, start []byte) *failure {
-	j.sent++
+func (j *job) deliverLong(conn *connector.Conn, response *http.Response, start []byte) *dispatcher.Failure {
 	j.writeHead(response.StatusCode, outgoing(response.Header), int(response.ContentLength))
 	if _, err := io.Copy(j.w, io.MultiReader(bytes.NewReader(start), response.Body)); err != nil {
 		conn.Close()
@@ -190,19 +191,22 @@
 }
 
 // giveUp ends the request with the best answer that is left.
-func (j *job) giveUp(last *failure, refusal *model.Refusal) {
+func (j *job) giveUp(last *dispatcher.Failure, refusal *model.Refusal) {
 	if j.r.Context().Err() != nil {
 		j.leave()
 	}
 	if j.stream.started {
-		j.abort(last.err)
+		j.abort(last.Err)
 	}
-	if last != nil && last.reply != nil && !promises(last.reply.status) {
-		j.pass(last.reply)
+	if j.reply != nil && !promises(j.reply.status) {
+		j.pass(j.reply)
 
 		return
 	}
-	j.refuse(j.outcome(last, refusal))
+	if j.left() <= 0 {
+		refusal.Code = model.CodeDeadline
+	}
+	j.refuse(refusal)
 }
 
 // promises tells whether a status says to callers that the request has not run. An endpoint that means it says so in its
@@ -215,22 +219,3 @@
 		return false
 	}
 }
-
-func (j *job) outcome(last *failure, refusal *model.Refusal) *model.Refusal {
-	if refusal == nil {
-		refusal = model.NewRefusal(model.CodeEndpointFailed, "the endpoint did not serve the request").
-			WithRetryAfter(retryWait)
-	}
-	if j.left() <= 0 {
-		refusal.Code = model.CodeDeadline
-		refusal.Detail = "the time for the request is over"
-	}
-	if j.sent > 0 {
-		refusal.Outcome = model.OutcomeUnknown
-	}
-	if last != nil {
-		refusal.Detail += ": " + last.err.Error()
-	}
-
-	return refusal
-}
--- a/router/internal/forwarder/job.go
+++ b/router/internal/forwarder/job.go
@@ -14,9 +14,11 @@
 	"cardamompulley/fleet/hasher"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/retrier"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/platform"
 	"cardamompulley/router/internal/connector"
+	"cardamompulley/router/internal/dispatcher"
 )
 
 const (
@@ -46,13 +48,13 @@
 	arrived timekeeper.Millis
 	limit   timekeeper.Millis
 
-	// sent is the number of endpoints that may have run the request.
-	sent int
 	// arrivals is the number of endpoints that the request has reached.
 	arrivals int
 	tried    []model.EndpointID
 	choice   balancer.Choice
 	stream   stream
+	// reply is the failure that the last endpoint itself has answered with, to be passed on if nothing better comes.
+	reply *reply
 	// read tells others that wait for the same prompt to go on.
 	read func()
 	// fingerprint is the same for all attempts of a caller at one request.
@@ -189,33 +191,36 @@
 // run sends the request until an endpoint has served it or nothing more may be tried.
 func (j *job) run() {
 	j.f.earn(j.service)
-	var last *failure
-	for {
-		choice, refusal := j.f.choose(j.view, j.query())
-		if refusal != nil {
-			j.giveUp(last, refusal)
-
-			return
-		}
+	d := dispatcher.Dispatcher{
+		Request: retrier.Request{Policy: retrier.Policy{
+			Repeatable: j.route.Repeatable(),
+			MaxRuns:    max(j.route.MaxAttempts, 1),
+			Deadline:   j.limit,
+		}},
+		Choose:  j.choose,
+		Attempt: j.try,
+		Spend:   func() bool { return j.f.spend(j.service) },
+		Failed:  j.failed,
+		Now:     j.f.clock.Now,
+	}
+	if last, refusal := d.Run(); refusal != nil {
+		j.giveUp(last, refusal)
+	}
+}
+
+func (j *job) choose() *model.Refusal {
+	choice, refusal := j.f.choose(j.view, j.query())
+	if refusal == nil {
 		j.choice = choice
-		fault := j.try()
-		if fault == nil {
-			return
-		}
-		j.logAttempt(fault)
-		last = fault
-		if !j.goOn(fault) {
-			j.giveUp(fault, nil)
-
-			return
-		}
-		j.view = j.f.View()
 	}
+
+	return refusal
 }
 
 // try makes one attempt and gives its place at the endpoint back, also when the caller's connection is aborted.
-func (j *job) try() *failure {
+func (j *job) try() *dispatcher.Failure {
 	defer j.f.finish(j.choice.Endpoint.ID)
+	j.reply = nil
 	j.shareRead()
 	defer func() { j.read() }()
 
@@ -242,21 +247,14 @@
 	return balancer.Query{Service: j.service, Session: j.facts.Session(), Shared: j.facts.Shared(), Tried: j.tried}
 }
 
-// goOn decides whether the request may be sent to another endpoint.
-func (j *job) goOn(fault *failure) bool {
+// failed prepares the attempt that follows a failed one.
+func (j *job) failed(fault *dispatcher.Failure, next retrier.Action) bool {
+	j.logAttempt(fault)
 	j.tried = append(j.tried, j.choice.Endpoint.ID)
-	if j.ctx.Err() != nil || j.left() <= 0 {
-		return false
-	}
-	if j.stream.started && (!j.route.Resumable || j.stream.last == "") {
-		return false
-	}
-	if fault.ran && (!j.route.Repeatable() || j.sent >= j.route.MaxAttempts) {
-		return false
-	}
-	if j.arrivals > 0 && !j.f.spend(j.service) {
+	if next == retrier.ActionNoBudget {
 		j.f.log.Write(logger.EventRetryBudgetEmpty, j.fields()...)
-
+	}
+	if next != retrier.ActionRetry {
 		return false
 	}
 	resent.Inc()
@@ -264,10 +262,16 @@
 		resumed.Inc()
 		j.f.log.Write(logger.EventStreamResumed, j.fields()...)
 	}
+	j.view = j.f.View()
 
 	return true
 }
 
+// lost tells whether nothing can be sent on to the caller any more, or only by an endpoint that may not go on.
+func (j *job) lost() bool {
+	return j.ctx.Err() != nil || j.stream.started && (!j.route.Resumable || j.stream.last == "")
+}
+
 func (j *job) request() *connector.Request {
 	header := j.header.Clone()
 	last := j.facts.LastEvent
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -7,6 +7,7 @@
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/platform"
+	"cardamompulley/router/internal/dispatcher"
 )
 
 const retryWait = 300 * timekeeper.Millis(1)
@@ -52,8 +53,8 @@
 	return fields
 }
 
-func (j *job) logAttempt(fault *failure) {
-	j.f.log.Write(logger.EventAttemptFailed, append(j.fields(), logger.Err(fault.err), logger.Bool("may-have-run", fault.ran))...)
+func (j *job) logAttempt(fault *dispatcher.Failure) {
+	j.f.log.Write(logger.EventAttemptFailed, append(j.fields(), logger.Err(fault.Err), logger.Bool("may-have-run", fault.MayHaveRun))...)
 }
 
 func (j *job) logServed(status int) {
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -6,8 +6,10 @@
 	"io"
 	"net/http"
 
+	"cardamompulley/fleet/retrier"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/router/internal/connector"
+	"cardamompulley/router/internal/dispatcher"
 )
 
 const streamBuffer = 4 << 10
@@ -68,8 +70,7 @@
 }
 
 // deliverStream passes events on as they arrive; a stream that breaks never looks complete.
-func (j *job) deliverStream(conn *connector.Conn, response *http.Response) *failure {
-	j.sent++
+func (j *job) deliverStream(conn *connector.Conn, response *http.Response) *dispatcher.Failure {
 	j.stream.pending = j.stream.pending[:0]
 	buffer := make([]byte, streamBuffer)
 	for {
@@ -114,7 +115,7 @@
 	j.writeHead(response.StatusCode, outgoing(response.Header), -1)
 }
 
-func (j *job) endStream(conn *connector.Conn, response *http.Response) *failure {
+func (j *job) endStream(conn *connector.Conn, response *http.Response) *dispatcher.Failure {
 	if len(j.stream.pending) > 0 {
 		return j.breakStream(conn, errBroken)
 	}
@@ -129,12 +130,12 @@
 }
 
 // breakStream ends a connection whose stream broke.
-func (j *job) breakStream(conn *connector.Conn, err error) *failure {
+func (j *job) breakStream(conn *connector.Conn, err error) *dispatcher.Failure {
 	conn.Close()
 	if j.ctx.Err() == nil {
 		j.f.noteHealth(j.choice.Endpoint.ID, false)
 		j.f.blame(j.choice.Endpoint.ID, j.fingerprint)
 	}
 
-	return &failure{err: err, ran: true}
+	return j.failure(err, retrier.Fault{Arrived: true, MayHaveRun: true})
 }
--- a/router/internal/server/answer.go
+++ b/router/internal/server/answer.go
@@ -11,12 +11,12 @@
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/fleet/tracer"
-	"cardamompulley/router/internal/dispatcher"
+	"cardamompulley/router/internal/submitter"
 )
 
 var endMark = []byte("data: [DONE]")
 
-func setHead(c fiber.Ctx, a *dispatcher.Answer) {
+func setHead(c fiber.Ctx, a *submitter.Answer) {
 	c.Status(int(a.Head.Status))
 	if a.Head.ContentType != "" {
 		c.Set(fiber.HeaderContentType, a.Head.ContentType)
@@ -29,7 +29,7 @@
 }
 
 // sendWhole delivers an answer complete or not at all.
-func (v *Server) sendWhole(c fiber.Ctx, a *dispatcher.Answer, span tracer.Span) error {
+func (v *Server) sendWhole(c fiber.Ctx, a *submitter.Answer, span tracer.Span) error {
 	defer a.Close()
 	body, err := a.Whole()
 	span.End(err)
@@ -44,7 +44,7 @@
 func (v *Server) incomplete(err error) *model.Refusal {
 	v.follower.Log.Write(logger.EventIncompleteAnswer, logger.Err(err))
 	detail := "the answer could not be completed"
-	if errors.Is(err, dispatcher.ErrTooLarge) {
+	if errors.Is(err, submitter.ErrTooLarge) {
 		detail = "the answer is too large"
 	}
 
@@ -53,7 +53,7 @@
 }
 
 // sendStream relays pieces as they come; a stream that breaks ends with an error event, never in silence.
-func (v *Server) sendStream(c fiber.Ctx, a *dispatcher.Answer, span tracer.Span) error {
+func (v *Server) sendStream(c fiber.Ctx, a *submitter.Answer, span tracer.Span) error {
 	setHead(c, a)
 
 	return c.SendStreamWriter(func(w *bufio.Writer) {
@@ -62,7 +62,7 @@
 	})
 }
 
-func (v *Server) relay(w *bufio.Writer, a *dispatcher.Answer) error {
+func (v *Server) relay(w *bufio.Writer, a *submitter.Answer) error {
 	var last []byte
 	for {
 		piece, done, err := a.Next()
@@ -73,7 +73,7 @@
 			return writePiece(w, last)
 		}
 		if last != nil {
-			return v.endBroken(w, dispatcher.ErrIncomplete)
+			return v.endBroken(w, submitter.ErrIncomplete)
 		}
 		// The end mark goes out only once the count and digest of the whole answer have been verified.
 		if bytes.HasPrefix(piece, endMark) {
--- a/router/internal/server/chat.go
+++ b/router/internal/server/chat.go
@@ -9,8 +9,8 @@
 	"cardamompulley/fleet/follower"
 	"cardamompulley/fleet/messenger"
 	"cardamompulley/fleet/model"
-	"cardamompulley/router/internal/dispatcher"
 	"cardamompulley/router/internal/parser"
+	"cardamompulley/router/internal/submitter"
 )
 
 const (
@@ -36,7 +36,7 @@
 	if b.key != "" && chat.Stream {
 		return v.refuse(c, model.NewRefusal(model.CodeBadRequest, "a chat with an "+keyHeader+" cannot be streamed"))
 	}
-	request := &dispatcher.Request{Hint: b.hint, Deadline: b.deadline, Run: &messenger.RunRequest{
+	request := &submitter.Request{Hint: b.hint, Deadline: b.deadline, Run: &messenger.RunRequest{
 		Account:        string(accountOf(c)),
 		Service:        string(service),
 		Chat:           uint64(chat.Key),
@@ -55,7 +55,7 @@
 		Idempotent:     b.key == "",
 	}}
 	ctx, span := v.tracer.Start(context.Background(), "router.chat", traceHeaders(c))
-	answer, refusal := v.dispatcher.Dispatch(ctx, request)
+	answer, refusal := v.submitter.Submit(ctx, request)
 	if refusal != nil {
 		span.End(refusal)
 
--- a/router/internal/server/server.go
+++ b/router/internal/server/server.go
@@ -14,8 +14,8 @@
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/fleet/tracer"
-	"cardamompulley/router/internal/dispatcher"
 	"cardamompulley/router/internal/settings"
+	"cardamompulley/router/internal/submitter"
 )
 
 const (
@@ -26,23 +26,23 @@
 
 // Server is the router's front for callers.
 type Server struct {
-	app        *fiber.App
-	settings   settings.Settings
-	follower   *follower.Follower
-	dispatcher *dispatcher.Dispatcher
-	tracer     *tracer.Tracer
-	stopping   atomic.Bool
-	done       chan struct{}
+	app       *fiber.App
+	settings  settings.Settings
+	follower  *follower.Follower
+	submitter *submitter.Submitter
+	tracer    *tracer.Tracer
+	stopping  atomic.Bool
+	done      chan struct{}
 }
 
 // NewServer returns the front of a router.
 func NewServer(s settings.Settings, f *follower.Follower, t *tracer.Tracer) *Server {
 	v := &Server{
-		settings:   s,
-		follower:   f,
-		dispatcher: dispatcher.NewDispatcher(s.Settings, f, t),
-		tracer:     t,
-		done:       make(chan struct{}),
+		settings:  s,
+		follower:  f,
+		submitter: submitter.NewSubmitter(s.Settings, f, t),
+		tracer:    t,
+		done:      make(chan struct{}),
 	}
 	v.app = fiber.New(fiber.Config{
 		BodyLimit:      s.MaxBodyBytes,
--- a/router/internal/server/service.go
+++ b/router/internal/server/service.go
@@ -9,8 +9,8 @@
 
 	"cardamompulley/fleet/messenger"
 	"cardamompulley/fleet/model"
-	"cardamompulley/router/internal/dispatcher"
 	"cardamompulley/router/internal/parser"
+	"cardamompulley/router/internal/submitter"
 )
 
 // handleService serves a call to a plain service.
@@ -43,7 +43,7 @@
 	}
 	account := accountOf(c)
 	fingerprint := parser.FingerprintCall(account, id, method, path, body)
-	request := &dispatcher.Request{Hint: b.hint, Deadline: b.deadline, Run: &messenger.RunRequest{
+	request := &submitter.Request{Hint: b.hint, Deadline: b.deadline, Run: &messenger.RunRequest{
 		Account:        string(account),
 		Service:        string(id),
 		Chat:           uint64(fingerprint),
@@ -58,7 +58,7 @@
 		Idempotent:     idempotent,
 	}}
 	ctx, span := v.tracer.Start(context.Background(), "router.service", traceHeaders(c))
-	answer, refusal := v.dispatcher.Dispatch(ctx, request)
+	answer, refusal := v.submitter.Submit(ctx, request)
 	if refusal != nil {
 		span.End(refusal)
 
--- a/router/internal/dispatcher/answer.go
+++ b/router/internal/submitter/answer.go
@@ -1,4 +1,4 @@
-package dispatcher
+package submitter
 
 import (
 	"errors"
@@ -15,9 +15,9 @@
 // Errors that callers test with errors.Is.
 var (
 	// ErrIncomplete means that an answer ended before its verified end mark.
-	ErrIncomplete = errors.New("dispatcher: answer incomplete")
+	ErrIncomplete = errors.New("submitter: answer incomplete")
 	// ErrTooLarge means that a whole answer is over the size limit.
-	ErrTooLarge = errors.New("dispatcher: answer too large")
+	ErrTooLarge = errors.New("submitter: answer too large")
 )
 
 const maxWholeBytes = 16 << 20
@@ -28,22 +28,22 @@
 	Head     *messenger.Head
 	Cached   model.Tokens
 
-	dispatcher *Dispatcher
-	attempt    string
-	id         model.EndpointID
-	stream     *connect.ServerStreamForClient[messenger.RunEvent]
-	cancel     func()
-	verifier   *verifier.Verifier
+	submitter *Submitter
+	attempt   string
+	id        model.EndpointID
+	stream    *connect.ServerStreamForClient[messenger.RunEvent]
+	cancel    func()
+	verifier  *verifier.Verifier
 }
 
-func newAnswer(d *Dispatcher, r *Request, t target, s *connect.ServerStreamForClient[messenger.RunEvent], cancel func()) *Answer {
+func newAnswer(s *Submitter, r *Request, t target, events *connect.ServerStreamForClient[messenger.RunEvent], cancel func()) *Answer {
 	return &Answer{
-		dispatcher: d,
-		attempt:    r.Run.AttemptId,
-		id:         t.id,
-		stream:     s,
-		cancel:     cancel,
-		verifier:   verifier.NewVerifier(r.Run.AttemptId),
+		submitter: s,
+		attempt:   r.Run.AttemptId,
+		id:        t.id,
+		stream:    events,
+		cancel:    cancel,
+		verifier:  verifier.NewVerifier(r.Run.AttemptId),
 	}
 }
 
@@ -77,7 +77,7 @@
 
 func (a *Answer) reportCrossed() {
 	crossed.Inc()
-	a.dispatcher.follower.Log.Write(logger.EventCrossedAnswer, logger.String("attempt", a.attempt))
+	a.submitter.follower.Log.Write(logger.EventCrossedAnswer, logger.String("attempt", a.attempt))
 }
 
 // Next returns the next piece; done is true after a verified end, and the error is ErrIncomplete for any other end.
@@ -89,7 +89,7 @@
 
 			continue
 		}
-		a.dispatcher.observe(a.id, e.Load)
+		a.submitter.observe(a.id, e.Load)
 		if p := e.GetPiece(); p != nil {
 			switch a.verifier.Piece(e.AttemptId, p.Number, p.Data) {
 			case verifier.VerdictTake:
--- /dev/null
+++ b/router/internal/submitter/job_test.go
@@ -0,0 +1,43 @@
+package submitter
+
+import (
+	"testing"
+
+	"cardamompulley/fleet/messenger"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/retrier"
+	"cardamompulley/fleet/timekeeper"
+)
+
+// What a sidecar's refusal allows, for requests with and without an idempotency key.
+func TestRefusalsAndWhatFollows(t *testing.T) {
+	refusal := func(code model.Code, o model.Outcome) *model.Refusal {
+		return model.NewRefusal(code, "").WithOutcome(o)
+	}
+	plain, idempotent, keyed := &messenger.RunRequest{}, &messenger.RunRequest{Idempotent: true}, &messenger.RunRequest{IdempotencyKey: "k"}
+	cases := []struct {
+		name    string
+		run     *messenger.RunRequest
+		refusal *model.Refusal
+		want    retrier.Action
+	}{
+		{"not run", plain, refusal(model.CodeUnreachable, model.OutcomeNotRun), retrier.ActionRetry},
+		{"unknown, not idempotent", plain, refusal(model.CodeUnreachable, model.OutcomeUnknown), retrier.ActionGiveUp},
+		{"unknown, idempotent", idempotent, refusal(model.CodeEndpointFailed, model.OutcomeUnknown), retrier.ActionRetry},
+		{"keyed, unknown", keyed, refusal(model.CodeEndpointFailed, model.OutcomeUnknown), retrier.ActionGiveUp},
+		{"keyed, not run", keyed, refusal(model.CodeOverloaded, model.OutcomeNotRun), retrier.ActionGiveUp},
+		{"keyed, another home", keyed, refusal(model.CodeNotHome, model.OutcomeUnknown), retrier.ActionRedirect},
+		{"keyed, stale view", keyed, refusal(model.CodeStale, model.OutcomeNotRun), retrier.ActionRedirect},
+		{"chat moved", plain, refusal(model.CodeMovedChat, model.OutcomeNotRun), retrier.ActionRedirect},
+		{"final", idempotent, refusal(model.CodeCondemned, model.OutcomeUnknown).AsFinal(), retrier.ActionGiveUp},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			j := &job{request: &Request{Run: c.run}}
+			r := retrier.Request{Policy: retrier.Policy{Repeatable: c.run.Idempotent, Deadline: timekeeper.Minute}}
+			if got := r.Decide(j.faultOf(c.refusal), func() bool { return true }, 0); got != c.want {
+				t.Fatalf("%s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/router/internal/dispatcher/target.go
+++ b/router/internal/submitter/target.go
@@ -1,4 +1,4 @@
-package dispatcher
+package submitter
 
 import (
 	"cardamompulley/fleet/configurator"
@@ -18,23 +18,23 @@
 	version model.Version
 }
 
-func (d *Dispatcher) choose(a *attempt) (target, *model.Refusal) {
+func (s *Submitter) choose(j *job) (target, *model.Refusal) {
 	var t target
 	var refusal *model.Refusal
-	d.follower.View(func(v follower.View) {
+	s.follower.View(func(v follower.View) {
 		if v.Snapshot == nil {
 			refusal = model.NewRefusal(model.CodeNotReady, "no configuration yet").
 				WithOutcome(model.OutcomeUnknown).WithRetryAfter(timekeeper.Second)
 
 			return
 		}
-		if refusal = d.refuseCondemned(v, a); refusal != nil {
+		if refusal = s.refuseCondemned(v, j); refusal != nil {
 			return
 		}
-		if a.used.Keyed {
-			t, refusal = d.chooseHome(v, a)
+		if j.keyed() {
+			t, refusal = s.chooseHome(v, j)
 		} else {
-			t, refusal = d.chooseMember(v, a)
+			t, refusal = s.chooseMember(v, j)
 		}
 		if refusal == nil {
 			v.Table.Add(t.index, 1)
@@ -44,12 +44,12 @@
 	return t, refusal
 }
 
-func (d *Dispatcher) refuseCondemned(v follower.View, a *attempt) *model.Refusal {
-	f := model.Fingerprint(a.request.Run.Fingerprint)
-	now := d.follower.Clock.Now()
+func (s *Submitter) refuseCondemned(v follower.View, j *job) *model.Refusal {
+	f := model.Fingerprint(j.request.Run.Fingerprint)
+	now := s.follower.Clock.Now()
 	condemned, span := v.Register.Condemned(f, now)
 	if !condemned {
-		a.request.Run.Crashes = uint32(v.Register.Crashes(f, now))
+		j.request.Run.Crashes = uint32(v.Register.Crashes(f, now))
 
 		return nil
 	}
@@ -59,8 +59,8 @@
 }
 
 // chooseHome returns the one endpoint that may run a key; only the home can say that a key did not run.
-func (d *Dispatcher) chooseHome(v follower.View, a *attempt) (target, *model.Refusal) {
-	r := a.request.Run
+func (s *Submitter) chooseHome(v follower.View, j *job) (target, *model.Refusal) {
+	r := j.request.Run
 	k := deduplicator.Key{
 		Account: model.AccountID(r.Account),
 		Service: model.ServiceID(r.Service),
@@ -72,26 +72,26 @@
 			WithOutcome(model.OutcomeUnknown)
 	}
 
-	return d.target(v.Snapshot, deduplicator.Home(newest, k), true), nil
+	return newTarget(v.Snapshot, deduplicator.Home(newest, k), true), nil
 }
 
-func (d *Dispatcher) chooseMember(v follower.View, a *attempt) (target, *model.Refusal) {
-	r := a.request.Run
+func (s *Submitter) chooseMember(v follower.View, j *job) (target, *model.Refusal) {
+	r := j.request.Run
 	g := v.Groups.Get(placer.GroupKey{
 		Service: model.ServiceID(r.Service),
 		Model:   model.ModelID(r.Model),
 		Adapter: model.AdapterID(r.Adapter),
 	})
-	p := placer.NewPlacer(d.domain, v.Table)
-	if blocked := d.blocked(v.Snapshot); len(blocked) > 0 {
+	p := placer.NewPlacer(s.domain, v.Table)
+	if blocked := s.blocked(v.Snapshot); len(blocked) > 0 {
 		p.Blocked = func(index int) bool { return blocked[index] }
 	}
-	q := placer.Request{Chat: model.ChatKey(r.Chat), FirstTurn: r.FirstTurn, Hint: g.Find(a.request.Hint)}
-	for id := range a.excluded {
+	q := placer.Request{Chat: model.ChatKey(r.Chat), FirstTurn: r.FirstTurn, Hint: g.Find(j.request.Hint)}
+	for id := range j.excluded {
 		q.Excluded.Add(g.Find(id))
 	}
-	if m := g.Find(a.forced); m != placer.NoMember && p.Usable(g, m, &q.Excluded) {
-		return d.target(v.Snapshot, a.forced, true), nil
+	if m := g.Find(j.forced); m != placer.NoMember && p.Usable(g, m, &q.Excluded) {
+		return newTarget(v.Snapshot, j.forced, true), nil
 	}
 	choice := p.Choose(g, &q)
 	if choice.Member == placer.NoMember {
@@ -99,10 +99,10 @@
 			WithRetryAfter(timekeeper.Second)
 	}
 
-	return d.target(v.Snapshot, g.Members[choice.Member].ID, choice.Placed), nil
+	return newTarget(v.Snapshot, g.Members[choice.Member].ID, choice.Placed), nil
 }
 
-func (d *Dispatcher) target(s *configurator.Snapshot, id model.EndpointID, placed bool) target {
+func newTarget(s *configurator.Snapshot, id model.EndpointID, placed bool) target {
 	return target{
 		id:      id,
 		address: s.Fleet.Endpoints[id].Address,
