Random schedules for the gateways' cores over drawn deployments

Change: prover draws a site (1 to 5 domains, 1 to 12 gateways, 1 to 3 services, any cold rate, retry terms, connections, bound) and plays requests, restarts, freezes, cuts from the store and from each other, a store that is away, endpoints that come cold, leave marked or unmarked, and domains out and back against balancer, budgeter, replicator, cataloguer and retrier. Checked: at most once, retry budget, cold sum, domains out, endpoints that left, the right endpoint, true refusals, nothing refused while places are free.

--- a/experimenter/internal/prover/prover.go
+++ b/experimenter/internal/prover/prover.go
@@ -75,6 +75,11 @@
 			Faults:   "restart, cold without notice, moving mean, bursts of several routers",
 			Schedule: func(c Chooser) *Violation { return RunAdmitSchedule(c, AdmitVariant{}) },
 		},
+		{
+			Name:     "gateways of any deployment",
+			Faults:   "restart, freeze, cut from the store or from each other, store away, endpoints come and leave, domains out",
+			Schedule: func(c Chooser) *Violation { return RunGatewaySchedule(c, GatewayVariant{}) },
+		},
 	}
 }
 
