--- a/experimenter/internal/launcher/gateway_state_test.go
+++ b/experimenter/internal/launcher/gateway_state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -69,6 +70,36 @@
 	}
 }
 
+// Calls to the store are paid for: one watch waits for both ranges, and changes in quick succession come by few calls.
+func TestGatewayMakesFewCallsToTheStore(t *testing.T) {
+	const idle, storm, mostIdle, mostInStorm = 4 * time.Second, 2 * time.Second, 4, 10
+	f := launchGateways(t, func(s *launcher.GatewaySpec) {
+		s.Gateways, s.Settings = 1, map[string]any{"contact-ms": 3000}
+	})
+	before := storeCalls(t, f)
+	time.Sleep(idle)
+	if n := storeCalls(t, f) - before; n > mostIdle {
+		t.Fatalf("%d calls in %s without a change", n, idle)
+	}
+	before = storeCalls(t, f)
+	for until := time.Now().Add(storm); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		must(t, f.List("plain-1", imitator.ServiceRecords, 0, false))
+	}
+	if n := storeCalls(t, f) - before; n > mostInStorm {
+		t.Fatalf("%d calls in %s of changes", n, storm)
+	}
+}
+
+func storeCalls(t *testing.T, f *launcher.GatewayFleet) int {
+	t.Helper()
+	page, err := launcher.Fetch("http://" + f.Store.Address("standin") + "/calls")
+	must(t, err)
+	n, err := strconv.Atoi(page)
+	must(t, err)
+
+	return n
+}
+
 func TestGatewayFollowsTheStore(t *testing.T) {
 	f := launchGateways(t, nil)
 	target := func() string {
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -46,8 +46,8 @@
 	mu        sync.Mutex
 	operator  *replicator.Replica
 	endpoints *replicator.Replica
-	// lost are the ranges that cannot be followed at the store now.
-	lost    map[*replicator.Replica]bool
+	// lost is true while the store cannot be followed.
+	lost    bool
 	listing *listing
 }
 
@@ -65,7 +65,6 @@
 		forward:   forwarder.NewForwarder(b, r, pool, clock, log),
 		operator:  replicator.NewReplica(0),
 		endpoints: replicator.NewReplica(lapseBeats * s.Heartbeat),
-		lost:      map[*replicator.Replica]bool{},
 		listing:   newListing(),
 		known:     make(chan struct{}),
 	}
@@ -89,8 +88,7 @@
 // Run keeps the state until the context ends.
 func (g *Gateway) Run(ctx context.Context) {
 	var w conc.WaitGroup
-	w.Go(func() { g.follow(ctx, platform.RangeOperator, g.operator) })
-	w.Go(func() { g.follow(ctx, platform.RangeEndpoints, g.endpoints) })
+	w.Go(func() { g.follow(ctx) })
 	w.Go(func() { g.peers.run(ctx) })
 	w.Go(func() { g.sweep(ctx) })
 	w.Wait()
--- a/router/internal/gateway/trade.go
+++ b/router/internal/gateway/trade.go
@@ -71,7 +71,7 @@
 		AsOf:    r.AsOf(),
 		Content: r.Content(),
 		Synced:  r.Synced(),
-		Wanted:  p.g.lost[r] || !r.Synced(),
+		Wanted:  p.g.lost || !r.Synced(),
 	}
 }
 
--- a/standin/internal/storekeeper/store.go
+++ b/standin/internal/storekeeper/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -52,7 +53,9 @@
 	// compacted is the revision up to which the history is gone.
 	compacted uint64
 	faults    Faults
-	changed   chan struct{}
+	// calls counts the calls of readers.
+	calls   int
+	changed chan struct{}
 }
 
 // NewStore returns an empty store.
@@ -69,6 +72,7 @@
 	mux.HandleFunc("PUT /items/{key...}", s.put)
 	mux.HandleFunc("DELETE /items/{key...}", s.delete)
 	mux.HandleFunc("PUT /faults", s.putFaults)
+	mux.HandleFunc("GET /calls", s.countCalls)
 	mux.HandleFunc("POST /compact", func(http.ResponseWriter, *http.Request) { s.Compact() })
 
 	return mux
@@ -78,6 +82,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		f := s.faults
+		s.calls++
 		s.mu.Unlock()
 		switch {
 		case f.Silent:
@@ -92,6 +97,15 @@
 	}
 }
 
+// countCalls tells how many calls of readers there have been.
+func (s *Store) countCalls(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	n := s.calls
+	s.mu.Unlock()
+	// A broken connection is the reader's to notice.
+	_, _ = fmt.Fprint(w, n)
+}
+
 func (s *Store) key(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	item, ok := s.items[r.URL.Query().Get("key")]
