Control traffic by need: near gateways first, quiet when idle, one copy of a range at a time

Change: gateways of the own failure domain are asked up to seven times in ten; an interval of 250 ms while no request runs; reports of gateways without requests are not relayed; a gateway that knows fewer others is told 24 names; a starting process leaves its reads to the store for 300 ms and then wants copies from one gateway at a time.

--- a/fleet/balancer/report.go
+++ b/fleet/balancer/report.go
@@ -34,6 +34,8 @@
 	Gateway Code
 	At      timekeeper.Millis
 	Uses    []Use
+	// busyAt is when the gateway last had requests running, as far as this one has heard.
+	busyAt timekeeper.Millis
 }
 
 // ReportBytes is the size of a report without running requests on the wire: code, age and number.
@@ -56,6 +58,10 @@
 		return
 	}
 	b.drop(r.Gateway)
+	r.busyAt = held.busyAt
+	if len(r.Uses) > 0 {
+		r.busyAt = r.At
+	}
 	b.reports[r.Gateway] = r
 	b.reportedAt += r.At
 	for _, u := range r.Uses {
@@ -106,7 +112,7 @@
 func (b *Balancer) Reports(receiver Code, bytes int, now timekeeper.Millis) []Report {
 	told := []Report{b.ownReport(now)}
 	room := bytes - told[0].size()
-	for _, r := range b.newest(receiver) {
+	for _, r := range b.newest(receiver, now) {
 		room -= r.size()
 		if room < 0 {
 			break
@@ -117,6 +123,17 @@
 	return told
 }
 
+// Busy tells whether requests run that this gateway has sent.
+func (b *Balancer) Busy() bool {
+	for _, m := range b.members {
+		if m.running > 0 {
+			return true
+		}
+	}
+
+	return false
+}
+
 func (b *Balancer) ownReport(now timekeeper.Millis) Report {
 	own := Report{Gateway: b.self, At: now}
 	for _, m := range b.members {
@@ -128,11 +145,12 @@
 	return own
 }
 
-// newest returns the reports of other gateways than a receiver, newest first.
-func (b *Balancer) newest(receiver Code) []Report {
+// newest returns the reports of other gateways than a receiver, newest first; those that have had nothing running for long
+// are no news.
+func (b *Balancer) newest(receiver Code, now timekeeper.Millis) []Report {
 	others := make([]Report, 0, len(b.reports))
 	for gateway, r := range b.reports {
-		if gateway != receiver {
+		if gateway != receiver && now-r.busyAt < reportLifetime {
 			others = append(others, r)
 		}
 	}
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	// lost is true while the store cannot be followed.
 	lost    bool
 	listing *listing
+	started timekeeper.Millis
 }
 
 // NewGateway returns a gateway that knows nothing yet.
@@ -66,6 +67,7 @@
 		operator:  replicator.NewReplica(0),
 		endpoints: replicator.NewReplica(lapseBeats * s.Heartbeat),
 		listing:   newListing(),
+		started:   clock.Now(),
 		known:     make(chan struct{}),
 	}
 	g.peers = newPeers(g)
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
@@ -21,18 +22,22 @@
 	tradeInterval = 125 * timekeeper.Millis(1)
 	// controlBytes bounds the traffic with other gateways in both directions, the users' bound.
 	controlBytes = 10_000
-	controlBurst = controlBytes
+	// idleTradeInterval holds while no request runs here.
+	idleTradeInterval = 2 * tradeInterval
+	controlBurst      = controlBytes
 	// mostCharged bounds what one interval is charged for, so that a copied range of the store does not end the trades.
 	mostCharged  = controlBytes / 2
 	tradeTimeout = 600 * timekeeper.Millis(1)
-	// tradesAtOnce is the number of gateways asked in one interval.
-	tradesAtOnce = 1
+	// storePatience is how long a new process leaves its first reads to the store.
+	storePatience = 300 * timekeeper.Millis(1)
 	// maxPlacements bounds the placements of one message.
-	maxPlacements = 24
+	maxPlacements = 40
 	// loadBytes bounds the loads told in one message.
 	loadBytes = 140
-	// maxNames bounds the gateways named in one trade; each trade names the next one.
-	maxNames = 1
+	// maxNames bounds the gateways named in one message to one that knows as many, and newcomerNames to one that knows
+	// fewer; each message names the next ones.
+	maxNames      = 1
+	newcomerNames = 24
 )
 
 // peers knows the other gateways and trades with them.
@@ -42,10 +47,11 @@
 
 	mu      sync.Mutex
 	known   map[string]*peer
-	order   []string
-	next    int
+	turns   *turns
 	named   int
 	clients map[string]messengerconnect.GatewayClient
+	// copying is true while another gateway is asked for copies of ranges.
+	copying atomic.Bool
 	// budget bounds the traffic; counted is what it has been charged for.
 	budget  *exchanger.Budget
 	counted int64
@@ -57,6 +63,8 @@
 	told uint64
 	// busy is true while a trade with the gateway is under way.
 	busy bool
+	// knows is the number of gateways that it has said to know.
+	knows int
 }
 
 func newPeers(g *Gateway) *peers {
@@ -64,6 +72,7 @@
 		g:       g,
 		client:  &http.Client{Transport: newPeerTransport(&g.control)},
 		known:   map[string]*peer{},
+		turns:   newTurns(),
 		clients: map[string]messengerconnect.GatewayClient{},
 		budget:  exchanger.NewBudget(controlBytes, controlBurst, g.clock.Now()),
 	}
@@ -91,7 +100,7 @@
 	for _, a := range fresh {
 		if _, ok := p.known[a]; !ok && a != p.g.settings.PeerListen {
 			p.known[a] = &peer{}
-			p.order = append(p.order, a)
+			p.turns.add(a)
 		}
 	}
 }
@@ -110,23 +119,34 @@
 		}
 		delete(p.known, a)
 		delete(p.clients, a)
-		p.order = slices.DeleteFunc(p.order, func(o string) bool { return o == a })
+		p.turns.drop(a)
 	}
 }
 
 func (p *peers) run(ctx context.Context) {
 	var w conc.WaitGroup
 	defer w.Wait()
-	for timekeeper.Pause(ctx, tradeInterval) {
+	for timekeeper.Pause(ctx, p.interval()) {
 		if !p.affords() {
 			continue
 		}
-		for _, address := range p.turn() {
+		if address := p.turn(); address != "" {
 			w.Go(func() { p.trade(ctx, address) })
 		}
 	}
 }
 
+// interval returns the time to the next trade: a gateway without requests has little to tell.
+func (p *peers) interval() timekeeper.Millis {
+	busy := false
+	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) { busy = b.Busy() })
+	if busy {
+		return tradeInterval
+	}
+
+	return idleTradeInterval
+}
+
 // affords tells whether the traffic so far leaves room for another trade.
 func (p *peers) affords() bool {
 	total, now := p.g.control.Total(), p.g.clock.Now()
@@ -136,21 +156,18 @@
 	return p.budget.Allows(now)
 }
 
-// turn returns the gateways to ask next, each in its turn.
-func (p *peers) turn() []string {
+// turn returns the gateway to ask next, or none while a trade with it is still under way.
+func (p *peers) turn() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var chosen []string
-	for range min(tradesAtOnce, len(p.order)) {
-		address := p.order[p.next%len(p.order)]
-		p.next++
-		if k := p.known[address]; !k.busy {
-			k.busy = true
-			chosen = append(chosen, address)
-		}
+	address := p.turns.next()
+	k, ok := p.known[address]
+	if !ok || k.busy {
+		return ""
 	}
+	k.busy = true
 
-	return chosen
+	return address
 }
 
 func (p *peers) clientOf(address string) messengerconnect.GatewayClient {
--- a/router/internal/gateway/trade.go
+++ b/router/internal/gateway/trade.go
@@ -17,6 +17,9 @@
 	ctx, cancel := context.WithTimeout(ctx, tradeTimeout.Duration())
 	defer cancel()
 	request := p.request(address)
+	if request.Operator.Wanted || request.Endpoints.Wanted {
+		defer p.copying.Store(false)
+	}
 	placements, next := p.placementsFor(address)
 	request.Placements = placements
 	response, err := p.clientOf(address).Trade(ctx, request)
@@ -57,33 +60,41 @@
 func (p *peers) request(receiver string) *messenger.TradeRequest {
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
+	// One gateway is asked for copies at a time: a range may hold a megabyte.
+	wanting := (p.wants(p.g.operator) || p.wants(p.g.endpoints)) && p.copying.CompareAndSwap(false, true)
 
 	return &messenger.TradeRequest{
 		News:      p.news(receiver),
-		Operator:  p.stateOf(p.g.operator),
-		Endpoints: p.stateOf(p.g.endpoints),
+		Operator:  p.stateOf(p.g.operator, wanting),
+		Endpoints: p.stateOf(p.g.endpoints, wanting),
 	}
 }
 
+// wants tells whether a range has to come from another gateway; the caller holds the gateway's lock.
+func (p *peers) wants(r *replicator.Replica) bool {
+	return p.g.lost || (!r.Synced() && p.g.clock.Now()-p.g.started >= storePatience)
+}
+
 // stateOf tells how far a range is followed; the caller holds the gateway's lock.
-func (p *peers) stateOf(r *replicator.Replica) *messenger.RangeState {
+func (p *peers) stateOf(r *replicator.Replica, wanting bool) *messenger.RangeState {
 	return &messenger.RangeState{
 		AsOf:    r.AsOf(),
 		Content: r.Content(),
 		Synced:  r.Synced(),
-		Wanted:  p.g.lost || !r.Synced(),
+		Wanted:  wanting && p.wants(r),
 	}
 }
 
 // news is what this gateway tells another one; the caller holds the gateway's lock.
 func (p *peers) news(receiver string) *messenger.GatewayNews {
-	news := &messenger.GatewayNews{Address: p.g.settings.PeerListen, StoreSilenceMs: -1}
+	news := &messenger.GatewayNews{Address: p.g.settings.PeerListen, Domain: uint32(balancer.CodeOf(p.g.settings.Domain)), StoreSilenceMs: -1}
 	if heard := p.g.endpoints.Heard(); heard > 0 {
 		news.StoreSilenceMs = int64(p.g.clock.Now() - heard)
 	}
 	p.g.forward.Update(func(b *balancer.Balancer, _ *budgeter.Retries) {
 		now := p.g.clock.Now()
-		news.Gateways = p.nextNames(b.Roster.Vouched(now))
+		news.Gateways = p.nextNames(receiver, b.Roster.Vouched(now))
+		news.Knows = uint32(len(b.Roster.Known()))
 		for _, r := range b.Reports(balancer.CodeOf(receiver), loadBytes, now) {
 			news.Loads = appendReport(news.Loads, r, now)
 		}
@@ -99,12 +110,16 @@
 	return news
 }
 
-// nextNames returns the part of the known gateways whose turn it is.
-func (p *peers) nextNames(known []string) []string {
+// nextNames returns the part of the known gateways whose turn it is; one that knows fewer is told more of them.
+func (p *peers) nextNames(receiver string, known []string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	names := make([]string, 0, maxNames)
-	for range min(maxNames, len(known)) {
+	most := maxNames
+	if k, ok := p.known[receiver]; ok && k.knows > 0 && k.knows < len(known) {
+		most = newcomerNames
+	}
+	names := make([]string, 0, most)
+	for range min(most, len(known)) {
 		names = append(names, known[p.named%len(known)])
 		p.named++
 	}
@@ -112,12 +127,25 @@
 	return names
 }
 
+// noteSender keeps what a gateway says of itself.
+func (p *peers) noteSender(news *messenger.GatewayNews) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k, ok := p.known[news.Address]; ok {
+		k.knows = int(news.Knows)
+	}
+	if balancer.Code(news.Domain) == balancer.CodeOf(p.g.settings.Domain) {
+		p.turns.found(news.Address)
+	}
+}
+
 // learn takes what another gateway says of itself.
 func (p *peers) learn(news *messenger.GatewayNews) {
 	if news == nil || news.Address == p.g.settings.PeerListen {
 		return
 	}
 	p.meet(append(news.Gateways, news.Address))
+	p.noteSender(news)
 	if news.StoreSilenceMs >= 0 {
 		p.g.mu.Lock()
 		p.g.endpoints.HeardElsewhere(p.g.clock.Now() - timekeeper.Millis(news.StoreSilenceMs))
