--- a/experimenter/internal/sloper/slope.go
+++ b/experimenter/internal/sloper/slope.go
@@ -1,28 +1,16 @@
 package sloper
 
 import (
-	"bytes"
-	"compress/gzip"
-	"context"
-	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"runtime"
 	"time"
 
 	"cardamompulley/fleet/configurator"
-	"cardamompulley/fleet/counter"
-	"cardamompulley/fleet/deduplicator"
 	"cardamompulley/fleet/exchanger"
 	"cardamompulley/fleet/follower"
-	"cardamompulley/fleet/holder"
-	"cardamompulley/fleet/messenger"
-	"cardamompulley/fleet/messenger/messengerconnect"
 	"cardamompulley/fleet/model"
-	"cardamompulley/fleet/runner"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/fleet/watcher"
 )
@@ -143,207 +131,6 @@
 	return t
 }
 
-func tableMemory() (Slope, error) {
-	return slopeOf("load table", "bytes a process, by runners", runnerSizes, Runners, func(size int) (float64, error) {
-		s, err := snapshotOf(size)
-		bytes := heapOf(func() any { return busyTable(s) })
-		runtime.KeepAlive(s)
-
-		return bytes, err
-	})
-}
-
-func vectorBytes() (Slope, error) {
-	return slopeOf("load vector", "bytes, by runners", runnerSizes, Runners, func(size int) (float64, error) {
-		s, err := snapshotOf(size)
-		if err != nil {
-			return 0, err
-		}
-
-		return float64(len(busyTable(s).Encode(5000, nil))), nil
-	})
-}
-
-// exchangeWire counts the bytes of one exchange at the connection, both directions, over a kept connection.
-func exchangeWire() (Slope, error) {
-	return slopeOf("exchange on the wire", "bytes an exchange, by runners", runnerSizes, Runners, func(size int) (float64, error) {
-		s, err := snapshotOf(size)
-		if err != nil {
-			return 0, err
-		}
-		wire, _, err := countExchange(busyTable(s).Encode(5000, nil))
-
-		return wire, err
-	})
-}
-
-func exchangeTime() (Slope, error) {
-	return slopeOf("one exchange, both ends", "ns, by runners", runnerSizes, Runners, func(size int) (float64, error) {
-		s, err := snapshotOf(size)
-		if err != nil {
-			return 0, err
-		}
-		_, nanos, err := countExchange(busyTable(s).Encode(5000, nil))
-
-		return nanos, err
-	})
-}
-
-// echo answers an exchange with a vector of the same size.
-type echo struct {
-	messengerconnect.UnimplementedPeerHandler
-	vector []byte
-}
-
-// Exchange returns the vector.
-func (e echo) Exchange(context.Context, *messenger.ExchangeRequest) (*messenger.ExchangeResponse, error) {
-	return &messenger.ExchangeResponse{Process: "router-0001", ConfigurationVersion: 1 << 20, ConfigurationHash: 1 << 60, Vector: e.vector}, nil
-}
-
-// countExchange returns the bytes and the time of one exchange, each over a connection of its own.
-func countExchange(vector []byte) (wire, nanos float64, err error) {
-	mux := http.NewServeMux()
-	mux.Handle(messengerconnect.NewPeerHandler(echo{vector: vector}, follower.CompressionOptions()...))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, 0, fmt.Errorf("sloper: %w", err)
-	}
-	server := runner.NewServer(mux)
-	go func() { _ = runner.Serve(server, l) }()
-	defer server.Close()
-	var control counter.Counter
-	client := messengerconnect.NewPeerClient(
-		&http.Client{Transport: &http.Transport{DialContext: control.Dial, DisableKeepAlives: true}},
-		"http://"+l.Addr().String(), follower.PeerClientOptions("token")...)
-	start := time.Now()
-	for range exchanges {
-		_, err := client.Exchange(context.Background(), &messenger.ExchangeRequest{
-			Process: "router-0001", ConfigurationVersion: 1 << 20, ConfigurationHash: 1 << 60, Vector: vector,
-		})
-		if err != nil {
-			return 0, 0, fmt.Errorf("sloper: %w", err)
-		}
-	}
-
-	return float64(control.Total()) / exchanges, float64(time.Since(start).Nanoseconds()) / exchanges, nil
-}
-
-func accountMemory() (Slope, error) {
-	return slopeOf("accounts in a router", "bytes, by accounts", accountSizes, Accounts, func(size int) (float64, error) {
-		p, err := configurator.Publish(1, document(10, size))
-		if err != nil {
-			return 0, err
-		}
-		var built *configurator.Snapshot
-		kept := heapOf(func() any {
-			built, err = configurator.NewSnapshot(p.Manifest, p.Values, configurator.NeedsAll)
-
-			return built
-		})
-		raw := 0
-		for _, v := range p.Values {
-			raw += len(v)
-		}
-
-		return kept + float64(raw), err
-	})
-}
-
-func accountShardBytes() (Slope, error) {
-	return slopeOf("one account shard", "bytes, by accounts", accountSizes, Accounts, func(size int) (float64, error) {
-		p, err := configurator.Publish(1, document(10, size))
-		if err != nil {
-			return 0, err
-		}
-		total := 0
-		for _, v := range p.Values {
-			total += len(v)
-		}
-
-		return float64(total) / float64(len(p.Values)), nil
-	})
-}
-
-func fleetPart(size int) ([]byte, error) {
-	raw, err := json.Marshal(document(size, 0).Fleet)
-	if err != nil {
-		return nil, fmt.Errorf("sloper: fleet part: %w", err)
-	}
-
-	return raw, nil
-}
-
-func fleetPartBytes() (Slope, error) {
-	return slopeOf("fleet part", "bytes, by runners", runnerSizes, Runners, func(size int) (float64, error) {
-		raw, err := fleetPart(size)
-
-		return float64(len(raw)), err
-	})
-}
-
-func fleetPartWire() (Slope, error) {
-	return slopeOf("fleet part, gzip", "bytes on the wire, by runners", runnerSizes, Runners, func(size int) (float64, error) {
-		raw, err := fleetPart(size)
-		if err != nil {
-			return 0, err
-		}
-		var packed bytes.Buffer
-		z := gzip.NewWriter(&packed)
-		if _, err := z.Write(raw); err != nil {
-			return 0, fmt.Errorf("sloper: gzip: %w", err)
-		}
-		if err := z.Close(); err != nil {
-			return 0, fmt.Errorf("sloper: gzip: %w", err)
-		}
-
-		return float64(packed.Len()), nil
-	})
-}
-
-func directoryMemory() (Slope, error) {
-	return slopeOf("holder directory", "bytes a sidecar, by chats", chatSizes, ChatsPerHome, func(size int) (float64, error) {
-		return heapOf(func() any {
-			d, err := holder.NewDirectory(size)
-			if err != nil {
-				return nil
-			}
-			for n := range size {
-				d.Note(model.ChatKey(n+1), "runner-0001")
-				d.Note(model.ChatKey(n+1), "runner-0002")
-			}
-
-			return d
-		}), nil
-	})
-}
-
-func keyMemory() (Slope, error) {
-	const answerBytes = 200
-
-	return slopeOf("key records", "bytes a sidecar, by keys", chatSizes, deduplicator.DefaultMaxRecords, func(size int) (float64, error) {
-		return heapOf(func() any { return filledTable(size, answerBytes) }), nil
-	})
-}
-
-var homes = []model.HomeGeneration{{Number: 1, Endpoints: []model.EndpointID{"self"}}}
-
-func filledTable(size, answerBytes int) *deduplicator.Deduplicator {
-	clock := timekeeper.NewManual(timekeeper.Hour)
-	d := deduplicator.NewDeduplicator("self", clock.Clock())
-	clock.Advance(timekeeper.Hour)
-	for n := range size {
-		beginKey(d, n, answerBytes)
-	}
-
-	return d
-}
-
-func beginKey(d *deduplicator.Deduplicator, n, answerBytes int) {
-	k := deduplicator.Key{Account: "a", Service: serviceID, Key: model.IdempotencyKey(fmt.Sprintf("key-%032d", n))}
-	d.Begin(k, model.Digest(n), homes, deduplicator.Policy{ResendWindow: timekeeper.Minute, Retention: timekeeper.Hour})
-	d.FinishRan(k, deduplicator.Answer{Status: 201, Body: make([]byte, answerBytes)})
-}
-
 // serviceCalls counts the calls a second at the platform's services for a fleet, watches counted as one each.
 func serviceCalls() (Slope, error) {
 	return slopeOf("calls at the platform's services", "calls a second, by processes", processSizes, Processes, func(size int) (float64, error) {
