One start-up of programs and one group of launched processes

Ruled out: one launcher for both fleets; what they start and publish differs.

Change: runner.Main; launcher's group, which also ends processes that never came to listen.

--- a/experimenter/internal/launcher/fleet.go
+++ b/experimenter/internal/launcher/fleet.go
@@ -57,20 +57,21 @@
 	Sidecars  map[model.EndpointID]*Process
 	Routers   []*Process
 
+	group
+
 	spec      Spec
-	folder    string
 	endpoints map[model.EndpointID]model.Endpoint
 	vms       []model.VM
 }
 
 // Launch starts a fleet and returns it when every process is ready.
 func Launch(spec Spec) (*Fleet, error) {
-	folder, err := os.MkdirTemp("", "cardamompulley-")
+	g, err := newGroup(spec.Programs, spec.Logs)
 	if err != nil {
-		return nil, fmt.Errorf("launcher: %w", err)
+		return nil, err
 	}
 	f := &Fleet{
-		spec: spec, folder: folder,
+		group: g, spec: spec,
 		Endpoints: map[model.EndpointID]*Process{},
 		Sidecars:  map[model.EndpointID]*Process{},
 		endpoints: map[model.EndpointID]model.Endpoint{},
@@ -109,10 +110,6 @@
 	return f.awaitPublished()
 }
 
-func (f *Fleet) program(name, program string, purposes []string, arguments ...string) (*Process, error) {
-	return Start(name, filepath.Join(f.spec.Programs, program), f.spec.Logs, purposes, arguments...)
-}
-
 func (f *Fleet) startEndpoints() error {
 	for n := range f.spec.Engines {
 		flags := append([]string{"engine"}, f.spec.EngineFlags...)
--- a/experimenter/internal/launcher/fleet_stop.go
+++ b/experimenter/internal/launcher/fleet_stop.go
@@ -21,17 +21,3 @@
 
 	return first
 }
-
-// Kill ends whatever runs, at once.
-func (f *Fleet) Kill() {
-	for _, p := range f.Running() {
-		p.Kill()
-	}
-	for _, p := range f.Endpoints {
-		p.Kill()
-	}
-	if f.Platform != nil {
-		f.Platform.Kill()
-	}
-	_ = os.RemoveAll(f.folder)
-}
--- a/experimenter/internal/launcher/gateway.go
+++ b/experimenter/internal/launcher/gateway.go
@@ -52,8 +52,9 @@
 	Endpoints map[model.EndpointID]*Process
 	Gateways  []*Process
 
+	group
+
 	spec    GatewaySpec
-	folder  string
 	version model.Version
 }
 
@@ -62,11 +63,11 @@
 
 // LaunchGateways starts a fleet and returns it when every gateway is ready.
 func LaunchGateways(spec GatewaySpec) (*GatewayFleet, error) {
-	folder, err := os.MkdirTemp("", "cardamompulley-")
+	g, err := newGroup(spec.Programs, spec.Logs)
 	if err != nil {
-		return nil, fmt.Errorf("launcher: %w", err)
+		return nil, err
 	}
-	f := &GatewayFleet{spec: spec, folder: folder, Endpoints: map[model.EndpointID]*Process{}}
+	f := &GatewayFleet{group: g, spec: spec, Endpoints: map[model.EndpointID]*Process{}}
 	if err := f.start(); err != nil {
 		f.Kill()
 
@@ -104,10 +105,6 @@
 	return f.AwaitReady()
 }
 
-func (f *GatewayFleet) program(name, program string, purposes []string, arguments ...string) (*Process, error) {
-	return Start(name, filepath.Join(f.spec.Programs, program), f.spec.Logs, purposes, arguments...)
-}
-
 // StartEndpoint starts an endpoint of a service and lists it in the store.
 func (f *GatewayFleet) StartEndpoint(id model.EndpointID, service model.ServiceID, domain int) error {
 	p, err := f.program(string(id), "standin", []string{"standin"}, "responder", "--id", string(id),
@@ -309,17 +306,3 @@
 
 	return errors.Join(faults...)
 }
-
-// Kill ends every process at once.
-func (f *GatewayFleet) Kill() {
-	all := append([]*Process{f.Store}, f.Gateways...)
-	for _, p := range f.Endpoints {
-		all = append(all, p)
-	}
-	for _, p := range all {
-		if p != nil {
-			p.Kill()
-		}
-	}
-	_ = os.RemoveAll(f.folder)
-}
--- a/fleet/runner/runner.go
+++ b/fleet/runner/runner.go
@@ -29,15 +29,23 @@
 	streamBuffer   = 32 << 10
 )
 
-// Parse reads the command line and the settings file; done is true when there is nothing more to do.
-func Parse(program string, arguments []string, options []loader.Option, out, errs io.Writer) (code int, done bool) {
-	_, code, done = ParsePath(program, arguments, options, out, errs)
+// Main reads the command line and the settings file of a program, has it serve, and returns its exit code.
+func Main(program string, arguments []string, options []loader.Option, out, errs io.Writer, serve func(path string) error) int {
+	path, code, done := parse(program, arguments, options, out, errs)
+	if done {
+		return code
+	}
+	if err := serve(path); err != nil {
+		fmt.Fprintln(errs, err)
+
+		return ExitFailed
+	}
 
-	return code, done
+	return ExitOK
 }
 
-// ParsePath is Parse that also returns the path of the settings file.
-func ParsePath(program string, arguments []string, options []loader.Option, out, errs io.Writer) (file string, code int, done bool) {
+// parse returns the path of the settings file; done is true when there is nothing more to do.
+func parse(program string, arguments []string, options []loader.Option, out, errs io.Writer) (file string, code int, done bool) {
 	flags := flag.NewFlagSet(program, flag.ContinueOnError)
 	flags.SetOutput(errs)
 	path := flags.String("settings", "", "settings file, JSON with comments")
--- a/router/internal/cli/cli.go
+++ b/router/internal/cli/cli.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 
 	"cardamompulley/fleet/configurator"
@@ -27,17 +26,8 @@
 		return runGateway(arguments[1:], out, errs)
 	}
 	s := settings.NewSettings()
-	code, done := runner.Parse("router", arguments, settings.Options(&s), out, errs)
-	if done {
-		return code
-	}
-	if err := serve(s, out, errs); err != nil {
-		fmt.Fprintln(errs, err)
-
-		return runner.ExitFailed
-	}
 
-	return runner.ExitOK
+	return runner.Main("router", arguments, settings.Options(&s), out, errs, func(string) error { return serve(s, out, errs) })
 }
 
 // serve keeps the signal handler until the end, so that a second signal cuts nothing that still runs.
--- a/sidecar/internal/cli/cli.go
+++ b/sidecar/internal/cli/cli.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -23,17 +22,8 @@
 // Run runs the sidecar until it is told to stop and returns its exit code.
 func Run(arguments []string, out, errs io.Writer) int {
 	s := settings.NewSettings()
-	code, done := runner.Parse("sidecar", arguments, settings.Options(&s), out, errs)
-	if done {
-		return code
-	}
-	if err := serve(s, out, errs); err != nil {
-		fmt.Fprintln(errs, err)
-
-		return runner.ExitFailed
-	}
 
-	return runner.ExitOK
+	return runner.Main("sidecar", arguments, settings.Options(&s), out, errs, func(string) error { return serve(s, out, errs) })
 }
 
 // serve keeps the signal handler until the end, so that a second signal cuts nothing that still runs.
