Connections that come to a stopping gateway get a refusal

The gateway had SIGTERM at 30.82 s; a request sent at 33.05 s, whose packet was lost and repeated 200 ms later, came on a connection that was accepted after the servers had shut down at 33.12 s and was closed without a word at 33.26 s. The listener stayed open until the running requests were done, and each connection accepted meanwhile was closed at once.

Change: connections accepted while the process ends get a server of their own that refuses at once, as not run, with a Retry-After; the listener closes only when the earlier requests are done. TestGatewayAnswersConnectionsThatComeLate failed before (connection closed without an answer).

--- a/experimenter/internal/launcher/gateway_stop_test.go
+++ b/experimenter/internal/launcher/gateway_stop_test.go
@@ -1,8 +1,10 @@
 package launcher_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -31,6 +33,36 @@
 	eventually(t, "the request is cancelled", 500*time.Millisecond, running(0))
 }
 
+// A connection whose packets come late is served as long as the process lives, or refused, but never closed without a word.
+func TestGatewayAnswersConnectionsThatComeLate(t *testing.T) {
+	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Events, s.Gap = 200, 20 })
+	g := f.Gateways[0]
+	var w sync.WaitGroup
+	w.Go(func() { newCall(g, http.MethodPost, drafts).stream().send(t.Context()) })
+	time.Sleep(100 * time.Millisecond)
+	must(t, g.Signal(syscall.SIGTERM))
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		conn, err := net.Dial("tcp", g.Address("callers"))
+		must(t, err)
+		c := newCall(g, http.MethodGet, lookups)
+		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nCardamompulley-Attempt-Id: %s\r\nCardamompulley-Key: %s\r\n\r\n",
+			c.path, c.host, c.attempt, launcher.GatewayKey)
+		must(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("no answer %s before the end: %v", time.Until(until), err)
+		}
+		refused := response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != ""
+		if response.StatusCode != http.StatusOK && !refused {
+			t.Errorf("status %d, Retry-After %q", response.StatusCode, response.Header.Get("Retry-After"))
+		}
+		_ = response.Body.Close()
+		_ = conn.Close()
+	}
+	w.Wait()
+	must(t, g.Stop())
+}
+
 // Rolling stops cut no request and no stream.
 func TestGatewayStopCutsNothing(t *testing.T) {
 	const callers = 12
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/quarantiner"
 	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/platform"
 	"cardamompulley/router/internal/connector"
 )
 
@@ -97,6 +98,18 @@
 	j.run()
 }
 
+// lateWait is when a caller whose connection came to an ending process may come back; it will find another one.
+const lateWait = 100 * timekeeper.Millis(1)
+
+// RefuseLate refuses a request that comes when the process is about to end.
+func (f *Forwarder) RefuseLate(w http.ResponseWriter, r *http.Request) {
+	j := newJob(f, w, r)
+	// Without a readable attempt id the refusal carries none.
+	j.facts, _ = platform.DecodeFacts(r.Header)
+	w.Header().Set("Connection", "close")
+	j.refuse(model.NewRefusal(model.CodeNotReady, "this gateway is stopping").WithRetryAfter(lateWait))
+}
+
 // startPatience is how long a request waits for the first state of a process that has just started.
 const startPatience = 300 * timekeeper.Millis(1)
 
--- a/router/internal/gateway/callers.go
+++ b/router/internal/gateway/callers.go
@@ -25,14 +25,16 @@
 // callerServer serves callers; each connection is held to the limits in force when it was accepted.
 type callerServer struct {
 	handler http.Handler
-	limits  func() cataloguer.Limits
+	// late refuses the requests of connections that come while the process ends.
+	late   http.Handler
+	limits func() cataloguer.Limits
 	// report is told of connections that could not be accepted.
 	report func(error)
 
-	mu      sync.Mutex
-	current *limitedServer
-	all     []*limitedServer
-	closed  bool
+	mu       sync.Mutex
+	listener net.Listener
+	current  *limitedServer
+	all      []*limitedServer
 }
 
 // limitedServer serves the connections that were accepted under one set of limits.
@@ -42,12 +44,15 @@
 	conns  *connListener
 }
 
-func newCallerServer(handler http.Handler, limits func() cataloguer.Limits, report func(error)) *callerServer {
-	return &callerServer{handler: handler, limits: limits, report: report}
+func newCallerServer(handler, late http.Handler, limits func() cataloguer.Limits, report func(error)) *callerServer {
+	return &callerServer{handler: handler, late: late, limits: limits, report: report}
 }
 
 // serve accepts connections until the listener closes.
 func (c *callerServer) serve(l net.Listener) error {
+	c.mu.Lock()
+	c.listener = l
+	c.mu.Unlock()
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -68,9 +73,6 @@
 func (c *callerServer) dispatch(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return false
-	}
 	if limits := c.limits(); c.current == nil || c.current.limits != limits {
 		c.current = c.open(limits, conn.LocalAddr())
 		c.all = append(c.all, c.current)
@@ -93,12 +95,34 @@
 	return n
 }
 
-// shutdown closes idle connections and waits for running requests.
+// shutdown closes idle connections and waits for running requests. Connections that come meanwhile, since their packets were
+// late or their callers have not heard, get a refusal; only then the listener closes.
 func (c *callerServer) shutdown(ctx context.Context) error {
 	c.mu.Lock()
-	c.closed = true
-	all := c.all
+	c.handler = c.late
 	c.mu.Unlock()
+	earlier := c.renew()
+	faults := []error{end(ctx, earlier)}
+	c.mu.Lock()
+	if c.listener != nil {
+		faults = append(faults, c.listener.Close())
+	}
+	c.mu.Unlock()
+
+	return errors.Join(append(faults, end(ctx, c.renew()))...)
+}
+
+// renew returns the servers so far; connections from now on get new ones.
+func (c *callerServer) renew() []*limitedServer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := c.all
+	c.all, c.current = nil, nil
+
+	return all
+}
+
+func end(ctx context.Context, all []*limitedServer) error {
 	var faults []error
 	for _, n := range all {
 		faults = append(faults, n.server.Shutdown(ctx))
--- a/router/internal/gateway/serve.go
+++ b/router/internal/gateway/serve.go
@@ -44,7 +44,7 @@
 	// The bound address names this gateway to the others.
 	s.PeerListen = open[purposePeer].Addr().String()
 	g := NewGateway(s, clock, log)
-	callers := newCallerServer(g.forward, g.limits, func(err error) { g.report(purposeCallers, err) })
+	callers := newCallerServer(g.forward, http.HandlerFunc(g.forward.RefuseLate), g.limits, func(err error) { g.report(purposeCallers, err) })
 	background, end := context.WithCancel(context.Background())
 	var w conc.WaitGroup
 	for purpose, serve := range g.servers(callers) {
@@ -55,8 +55,10 @@
 	<-term.Done()
 	err = g.drain(callers)
 	end()
-	for _, l := range open {
-		_ = l.Close()
+	for purpose, l := range open {
+		if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			g.report(purpose, err)
+		}
 	}
 	w.Wait()
 	log.Write(logger.EventShutdownFinished)
