--- a/fleet/balancer/report.go
+++ b/fleet/balancer/report.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// reportLifetime is how long the counts of another gateway are believed, about the length of a usual answer.
+// reportLifetime is how long the counts of another gateway are believed; few answers take longer.
 const reportLifetime = 3 * timekeeper.Second
 
 // Code stands for a name in reports, an endpoint's ID or a gateway's address: it is short, and two names of a fleet hardly
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -18,16 +18,16 @@
 )
 
 const (
-	// tradeInterval is between the trades that a gateway starts, unless controlBytes a second are used up.
-	tradeInterval = 125 * timekeeper.Millis(1)
-	// controlBytes bounds the traffic with other gateways in both directions, the users' bound.
-	controlBytes = 10_000
-	// idleTradeInterval holds while no request runs here.
+	// tradeInterval is the time between the trades that a gateway starts, and idleTradeInterval while no request runs here.
+	tradeInterval     = 125 * timekeeper.Millis(1)
 	idleTradeInterval = 2 * tradeInterval
-	controlBurst      = controlBytes
+	tradeTimeout      = 600 * timekeeper.Millis(1)
+	// controlBytes bounds the traffic with other gateways in a second, both directions together, as the users want it; trades
+	// start later while it is used up. controlBurst is what an idle gateway may save up.
+	controlBytes = 10_000
+	controlBurst = controlBytes
 	// mostCharged bounds what one interval is charged for, so that a copied range of the store does not end the trades.
-	mostCharged  = controlBytes / 2
-	tradeTimeout = 600 * timekeeper.Millis(1)
+	mostCharged = controlBytes / 2
 	// storePatience is how long a new process leaves its first reads to the store.
 	storePatience = 300 * timekeeper.Millis(1)
 	// maxPlacements bounds the placements of one message.
--- a/router/internal/gateway/trade.go
+++ b/router/internal/gateway/trade.go
@@ -13,6 +13,7 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
+// trade tells another gateway what is news and takes what it tells.
 func (p *peers) trade(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, tradeTimeout.Duration())
 	defer cancel()
@@ -87,7 +88,11 @@
 
 // news is what this gateway tells another one; the caller holds the gateway's lock.
 func (p *peers) news(receiver string) *messenger.GatewayNews {
-	news := &messenger.GatewayNews{Address: p.g.settings.PeerListen, Domain: uint32(balancer.CodeOf(p.g.settings.Domain)), StoreSilenceMs: -1}
+	news := &messenger.GatewayNews{
+		Address:        p.g.settings.PeerListen,
+		Domain:         uint32(balancer.CodeOf(p.g.settings.Domain)),
+		StoreSilenceMs: -1,
+	}
 	if heard := p.g.endpoints.Heard(); heard > 0 {
 		news.StoreSilenceMs = int64(p.g.clock.Now() - heard)
 	}
