Servers end side by side, and close connections on which nothing has come

Ruled out: a longer wait for first requests (a caller may hold a connection unused for any time).

Change: end runs for all servers at once; connections without a first request are closed before Shutdown, so that their callers hear of it within the slack and not when the request arrives.

--- a/router/internal/gateway/callers.go
+++ b/router/internal/gateway/callers.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/timekeeper"
 )
@@ -101,11 +103,14 @@
 	return all
 }
 
+// end ends servers side by side: none may take requests while another waits for its own.
 func end(ctx context.Context, all []*limitedServer) error {
-	var faults []error
-	for _, n := range all {
-		faults = append(faults, n.end(ctx))
+	faults := make([]error, len(all))
+	var w conc.WaitGroup
+	for i, n := range all {
+		w.Go(func() { faults[i] = n.end(ctx) })
 	}
+	w.Wait()
 
 	return errors.Join(faults...)
 }
--- a/router/internal/gateway/limited.go
+++ b/router/internal/gateway/limited.go
@@ -60,10 +60,21 @@
 func (n *limitedServer) end(ctx context.Context) error {
 	for n.awaitsFirst() && timekeeper.Pause(ctx, endPoll) {
 	}
+	n.closeFresh()
 
 	return n.server.Shutdown(ctx)
 }
 
+// closeFresh closes the connections whose first request has not come, so that their callers hear of it at once.
+func (n *limitedServer) closeFresh() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for conn := range n.fresh {
+		// The caller may have closed it already.
+		_ = conn.Close()
+	}
+}
+
 // awaitsFirst tells whether the first request of a connection may be on its way.
 func (n *limitedServer) awaitsFirst() bool {
 	n.mu.Lock()
