Connections closed during shutdown, and requests read but not answered, are logged and counted

Cause: not shown yet. The gateway's log could not tell the hypotheses apart, since a request that no handler has seen leaves no trace.

Change: fleet/drainer tracks callers' connections: bytes read since the last answered request, and when. request-dropped (109, alarm) names a connection that the gateway closed with such bytes and no response; connection-closed-at-shutdown (108) one that waited for a request. Two counters. Nothing else changes: no connection is closed earlier or later.

--- /dev/null
+++ b/fleet/drainer/tracker.go
@@ -0,0 +1,49 @@
+package drainer
+
+import (
+	"net"
+	"sync"
+
+	"cardamompulley/fleet/timekeeper"
+)
+
+// Tracker holds the open connections of a server. It is safe for concurrent use.
+type Tracker struct {
+	// OnClosed is called once with the final state of each connection that the server closes. It must be set before Track
+	// is called.
+	OnClosed func(Closed)
+
+	clock timekeeper.Clock
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// NewTracker returns a tracker without connections.
+func NewTracker(clock timekeeper.Clock) *Tracker {
+	return &Tracker{OnClosed: func(Closed) {}, clock: clock, conns: map[*Conn]struct{}{}}
+}
+
+// Track adds a connection that has just been accepted. It is removed when it is closed.
+func (t *Tracker) Track(conn net.Conn) *Conn {
+	now := t.clock.Now()
+	c := &Conn{Conn: conn, tracker: t, lastReadAt: now, waitingSince: now}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns[c] = struct{}{}
+
+	return c
+}
+
+// Len returns the number of open connections.
+func (t *Tracker) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return len(t.conns)
+}
+
+func (t *Tracker) remove(c *Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
--- a/router/internal/gateway/caller_server.go
+++ b/router/internal/gateway/caller_server.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/drainer"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -31,6 +32,7 @@
 	shutdownHandler http.Handler
 	limits          func() cataloguer.Limits
 	onAcceptError   func(error)
+	conns           *drainer.Tracker
 
 	mu            sync.Mutex
 	listener      net.Listener
@@ -39,7 +41,13 @@
 }
 
 func newCallerServer(handler, shutdownHandler http.Handler, limits func() cataloguer.Limits, onAcceptError func(error)) *callerServer {
-	return &callerServer{handler: handler, shutdownHandler: shutdownHandler, limits: limits, onAcceptError: onAcceptError}
+	return &callerServer{
+		handler:         handler,
+		shutdownHandler: shutdownHandler,
+		limits:          limits,
+		onAcceptError:   onAcceptError,
+		conns:           drainer.NewTracker(timekeeper.NewSystemClock()),
+	}
 }
 
 // serve accepts connections until the listener is closed.
@@ -58,8 +66,9 @@
 
 			continue
 		}
-		if !c.dispatch(conn) {
-			_ = conn.Close()
+		tracked := c.conns.Track(conn)
+		if !c.dispatch(tracked) {
+			_ = tracked.Close()
 		}
 	}
 }
--- a/router/internal/gateway/limited_server.go
+++ b/router/internal/gateway/limited_server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/drainer"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -48,6 +49,9 @@
 func (s *limitedServer) trackConnState(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if tracked, ok := conn.(*drainer.Conn); ok && state == http.StateIdle {
+		tracked.SetWaiting()
+	}
 	if state == http.StateNew {
 		s.awaitingFirst[conn] = time.Now()
 	} else {
--- a/router/internal/gateway/serve.go
+++ b/router/internal/gateway/serve.go
@@ -48,6 +48,7 @@
 	g := NewGateway(s, clock, log)
 	callerSrv := newCallerServer(g.forwarder, http.HandlerFunc(g.forwarder.RefuseAtShutdown), g.callerLimits,
 		func(err error) { g.logListenerError(purposeCallers, err) })
+	callerSrv.conns.OnClosed = g.recordClosedConn
 	background, stopBackground := context.WithCancel(context.Background())
 	var w conc.WaitGroup
 	for purpose, serve := range g.serveFuncs(callerSrv) {
