--- a/fleet/drainer/conn.go
+++ b/fleet/drainer/conn.go
@@ -22,7 +22,7 @@
 	unansweredBytes int
 	lastReadAt      timekeeper.Millis
 	waitingSince    timekeeper.Millis
-	// hasResponded is true once a response to the bytes read has begun.
+	// hasResponded is true once the response to the current request has begun; what is read after that is the rest of its body.
 	hasResponded bool
 	// isPeerGone is true once the peer has closed or reset the connection.
 	isPeerGone bool
@@ -52,7 +52,6 @@
 	defer c.mu.Unlock()
 	if n > 0 {
 		c.unansweredBytes += n
-		c.hasResponded = false
 		c.lastReadAt = c.tracker.clock.Now()
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
@@ -87,13 +86,15 @@
 	defer c.mu.Unlock()
 	c.requests++
 	c.unansweredBytes = 0
+	c.hasResponded = false
 	c.waitingSince = c.tracker.clock.Now()
 }
 
 // Close closes the connection and reports its final state to the tracker.
 func (c *Conn) Close() error {
+	closed, isFirst := c.finalState()
 	err := c.Conn.Close()
-	if closed, isFirst := c.finalState(); isFirst {
+	if isFirst {
 		c.tracker.remove(c)
 		c.tracker.OnClosed(closed)
 	}
