A stopping gateway answers each request that it has read: waiting connections expire in place of being closed

A whole request ended without an answer or refusal, 230 ms after it was sent, when a stopping gateway closed its connection.

Cause: closing was decided from a record that lags what has been read. net/http counts a connection as idle or new until a whole head has been parsed, so closeIdleConns and closeAwaitingFirst close connections whose bytes have been read, and conn.serve ends without a word if Shutdown has begun meanwhile. Class: one goroutine acts on another's state that it cannot see.

Change: http.Server.Shutdown is not called any more. A waiting connection's reads expire: its reader gets what has arrived, or nothing and closes the connection itself, so that reading and closing are decided by the same goroutine. All connections are tracked from the moment they are accepted, and the shutdown ends when none is open. One server serves and refuses; the second set of servers for late connections is gone.

Why it works: a request is dropped only if its reader has decided that nothing has arrived.

--- a/fleet/drainer/conn.go
+++ b/fleet/drainer/conn.go
@@ -5,19 +5,26 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 
 	"cardamompulley/fleet/timekeeper"
 )
 
-// Conn is a tracked connection. Its server calls SetWaiting each time it begins to wait for the next request.
+// Conn is a tracked connection. Its server reports with SetActive and SetWaiting when a request begins and when it has been
+// answered.
 type Conn struct {
 	net.Conn
 
 	tracker *Tracker
 
 	mu sync.Mutex
-	// requests is the number of requests that have been answered.
-	requests int
+	// isWaiting is true while no byte of the next request has been read.
+	isWaiting bool
+	// isExpired is true while reads return only what has arrived already.
+	isExpired bool
+	// readDeadline is the deadline that the server has set.
+	readDeadline time.Time
+	requests     int
 	// unansweredBytes is the number of bytes read since the last request was answered.
 	unansweredBytes int
 	lastReadAt      timekeeper.Millis
@@ -29,36 +36,35 @@
 	isClosed   bool
 }
 
-// Closed is the final state of a connection that the server has closed.
-type Closed struct {
-	RemoteAddr string
-	// WasWaiting is true if the server closed the connection while it waited for a request.
-	WasWaiting bool
-	// Requests is the number of requests that were answered.
-	Requests int
-	// UnansweredBytes is the number of bytes that were read after the last answered request and got no response. It is 0 if
-	// the peer closed the connection first.
-	UnansweredBytes int
-	// SinceRead is the time since the last byte was read, or since the connection was accepted.
-	SinceRead timekeeper.Millis
-	// SinceWaiting is the time since the last request was answered, or since the connection was accepted.
-	SinceWaiting timekeeper.Millis
+func newConn(conn net.Conn, t *Tracker) *Conn {
+	now := t.clock.Now()
+
+	return &Conn{Conn: conn, tracker: t, isWaiting: true, lastReadAt: now, waitingSince: now}
 }
 
-// Read reads from the connection.
+// Read reads from the connection. Once its reads have expired it returns os.ErrDeadlineExceeded, unless the next request has
+// arrived.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasExpired() {
+		n, err = c.readArrived(b)
+	}
+	c.recordRead(n, err)
+
+	return n, err
+}
+
+func (c *Conn) recordRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
 		c.unansweredBytes += n
 		c.lastReadAt = c.tracker.clock.Now()
+		c.setActive()
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 		c.isPeerGone = true
 	}
-
-	return n, err
 }
 
 // Write writes to the connection.
@@ -70,6 +76,18 @@
 	return c.Conn.Write(b)
 }
 
+// SetReadDeadline sets the deadline of reads. It takes effect once the reads of the connection have not expired.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.isExpired {
+		return nil
+	}
+
+	return c.Conn.SetReadDeadline(t)
+}
+
 // CloseWrite closes the write side, if the connection has two sides.
 func (c *Conn) CloseWrite() error {
 	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
@@ -80,47 +98,30 @@
 	return halfCloser.CloseWrite()
 }
 
-// SetWaiting records that the last request has been answered and the server waits for the next one.
-func (c *Conn) SetWaiting() {
+// SetActive records that the server has read the head of a request.
+func (c *Conn) SetActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests++
-	c.unansweredBytes = 0
-	c.hasResponded = false
-	c.waitingSince = c.tracker.clock.Now()
+	c.setActive()
 }
 
-// Close closes the connection and reports its final state to the tracker.
-func (c *Conn) Close() error {
-	closed, isFirst := c.finalState()
-	err := c.Conn.Close()
-	if isFirst {
-		c.tracker.remove(c)
-		c.tracker.OnClosed(closed)
+// setActive also ends the expiry of reads, since the request may have a body. c.mu must be held.
+func (c *Conn) setActive() {
+	c.isWaiting = false
+	if c.isExpired {
+		c.isExpired = false
+		// If the connection has been closed, the next read reports it.
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
-
-	return err
 }
 
-// finalState returns the state of a connection that is being closed, and whether it is closed for the first time.
-func (c *Conn) finalState() (closed Closed, isFirst bool) {
+// SetWaiting records that the last request has been answered and the server waits for the next one.
+func (c *Conn) SetWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isClosed {
-		return Closed{}, false
-	}
-	c.isClosed = true
-	now := c.tracker.clock.Now()
-	closed = Closed{
-		RemoteAddr:   c.RemoteAddr().String(),
-		WasWaiting:   c.unansweredBytes == 0 && !c.isPeerGone,
-		Requests:     c.requests,
-		SinceRead:    now - c.lastReadAt,
-		SinceWaiting: now - c.waitingSince,
-	}
-	if !c.hasResponded && !c.isPeerGone {
-		closed.UnansweredBytes = c.unansweredBytes
-	}
-
-	return closed, true
+	c.requests++
+	c.isWaiting = true
+	c.unansweredBytes = 0
+	c.hasResponded = false
+	c.waitingSince = c.tracker.clock.Now()
 }
--- a/fleet/drainer/conn_test.go
+++ b/fleet/drainer/conn_test.go
@@ -19,9 +19,9 @@
 		{"waits for the first request", func(*drainer.Conn, *timekeeper.ManualClock) {},
 			drainer.Closed{WasWaiting: true, SinceRead: 300, SinceWaiting: 300}},
 		{"has read a request", func(c *drainer.Conn, clock *timekeeper.ManualClock) { readRequest(c); clock.Advance(200) },
-			drainer.Closed{UnansweredBytes: len(request), SinceRead: 200, SinceWaiting: 500}},
+			drainer.Closed{WasDropped: true, UnansweredBytes: len(request), SinceRead: 200, SinceWaiting: 500}},
 		{"responds", func(c *drainer.Conn, _ *timekeeper.ManualClock) { readRequest(c); respond(c) },
-			drainer.Closed{SinceWaiting: 300}},
+			drainer.Closed{UnansweredBytes: len(request), SinceWaiting: 300}},
 		{"waits for the second request", func(c *drainer.Conn, clock *timekeeper.ManualClock) {
 			readRequest(c)
 			respond(c)
--- a/fleet/drainer/tracker.go
+++ b/fleet/drainer/tracker.go
@@ -25,8 +25,7 @@
 
 // Track adds a connection that has just been accepted. It is removed when it is closed.
 func (t *Tracker) Track(conn net.Conn) *Conn {
-	now := t.clock.Now()
-	c := &Conn{Conn: conn, tracker: t, lastReadAt: now, waitingSince: now}
+	c := newConn(conn, t)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conns[c] = struct{}{}
@@ -42,6 +41,23 @@
 	return len(t.conns)
 }
 
+// Waits are the times for which connections may wait for a request during shutdown.
+type Waits struct {
+	// First applies to connections that have not sent a request yet.
+	First timekeeper.Millis
+	// Next applies to connections on which a request has been answered.
+	Next timekeeper.Millis
+}
+
+// ExpireWaiting expires the reads of the connections that have waited for a request for longer than w allows.
+func (t *Tracker) ExpireWaiting(w Waits) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		c.expireIfWaiting(w)
+	}
+}
+
 func (t *Tracker) remove(c *Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/router/internal/gateway/caller_server.go
+++ b/router/internal/gateway/caller_server.go
@@ -6,17 +6,23 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/drainer"
 	"cardamompulley/fleet/timekeeper"
 )
 
-// acceptRetryDelay leaves time for file descriptors to be released after Accept has failed.
-const acceptRetryDelay = 5 * timekeeper.Millis(1)
+const (
+	// acceptRetryDelay leaves time for file descriptors to be released after Accept has failed.
+	acceptRetryDelay = 5 * timekeeper.Millis(1)
+	// drainPollInterval is how often a shutdown looks for connections that wait for a request.
+	drainPollInterval = 20 * timekeeper.Millis(1)
+	// firstRequestTimeout is how long a shutdown waits for the first request of a connection; it leaves time for one
+	// retransmission of a lost packet.
+	firstRequestTimeout = 500 * timekeeper.Millis(1)
+)
 
 // initialLimits apply until the first configuration arrives.
 var initialLimits = cataloguer.Limits{
@@ -28,11 +34,14 @@
 // callerServer serves callers; each connection keeps the limits that were in force when it was accepted.
 type callerServer struct {
 	handler http.Handler
-	// shutdownHandler refuses requests on connections that are accepted during shutdown.
+	// shutdownHandler refuses the requests that begin during shutdown.
 	shutdownHandler http.Handler
 	limits          func() cataloguer.Limits
 	onAcceptError   func(error)
 	conns           *drainer.Tracker
+	isShuttingDown  atomic.Bool
+	// done is closed when serve has returned.
+	done chan struct{}
 
 	mu            sync.Mutex
 	listener      net.Listener
@@ -47,11 +56,13 @@
 		limits:          limits,
 		onAcceptError:   onAcceptError,
 		conns:           drainer.NewTracker(timekeeper.NewSystemClock()),
+		done:            make(chan struct{}),
 	}
 }
 
 // serve accepts connections until the listener is closed.
 func (c *callerServer) serve(l net.Listener) error {
+	defer close(c.done)
 	c.mu.Lock()
 	c.listener = l
 	c.mu.Unlock()
@@ -77,50 +88,70 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if limits := c.limits(); c.currentServer == nil || c.currentServer.limits != limits {
-		c.currentServer = startLimitedServer(c.handler, limits, conn.LocalAddr())
+		c.currentServer = startLimitedServer(c, limits, conn.LocalAddr())
 		c.servers = append(c.servers, c.currentServer)
 	}
 
 	return c.currentServer.conns.deliver(conn)
 }
 
-// shutdown closes idle connections and waits for running requests until the context ends. Connections accepted in the
-// meantime, from callers that do not know of the shutdown yet or whose packets were delayed, get a refusal from
+// ServeHTTP serves a request, or refuses it if the shutdown has begun.
+func (c *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c.isShuttingDown.Load() {
+		c.shutdownHandler.ServeHTTP(w, r)
+
+		return
+	}
+	c.handler.ServeHTTP(w, r)
+}
+
+// shutdown closes connections that wait for a request and waits for running requests until the context ends. Requests that
+// begin in the meantime, from callers that do not know of the shutdown yet or whose packets were delayed, get a refusal from
 // shutdownHandler. The listener stays open until the running requests have ended.
 func (c *callerServer) shutdown(ctx context.Context) error {
-	c.mu.Lock()
-	c.handler = c.shutdownHandler
-	c.mu.Unlock()
-	earlier := c.detachServers()
-	errs := []error{shutdownAll(ctx, earlier)}
-	c.mu.Lock()
-	if c.listener != nil {
-		errs = append(errs, c.listener.Close())
+	c.isShuttingDown.Store(true)
+	err := errors.Join(c.drain(ctx), c.closeListener())
+	if err == nil {
+		err = c.drain(ctx)
 	}
-	c.mu.Unlock()
 
-	return errors.Join(append(errs, shutdownAll(ctx, c.detachServers()))...)
+	return errors.Join(err, c.closeServers())
 }
 
-// detachServers removes and returns the current servers; connections accepted later get new servers.
-func (c *callerServer) detachServers() []*limitedServer {
+// drain waits until no connection is open, or until the context ends.
+func (c *callerServer) drain(ctx context.Context) error {
+	for c.conns.Len() > 0 {
+		c.conns.ExpireWaiting(drainer.Waits{First: firstRequestTimeout})
+		if !timekeeper.Sleep(ctx, drainPollInterval) {
+			return ctx.Err()
+		}
+	}
+
+	return nil
+}
+
+// closeListener closes the listener and returns when all connections that it had accepted are tracked.
+func (c *callerServer) closeListener() error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	detached := c.servers
-	c.servers, c.currentServer = nil, nil
+	l := c.listener
+	c.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	err := l.Close()
+	<-c.done
 
-	return detached
+	return err
 }
 
-// shutdownAll shuts servers down concurrently: one after the other, later servers would accept requests while earlier ones
-// wait for theirs.
-func shutdownAll(ctx context.Context, servers []*limitedServer) error {
-	errs := make([]error, len(servers))
-	var w conc.WaitGroup
-	for i, s := range servers {
-		w.Go(func() { errs[i] = s.shutdown(ctx) })
+// closeServers closes the connections that are still open.
+func (c *callerServer) closeServers() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var errs []error
+	for _, s := range c.servers {
+		errs = append(errs, s.server.Close())
 	}
-	w.Wait()
 
 	return errors.Join(errs...)
 }
--- a/router/internal/gateway/closed_conns.go
+++ b/router/internal/gateway/closed_conns.go
@@ -22,7 +22,7 @@
 		logger.Int("since-read-ms", c.SinceRead),
 		logger.Int("since-waiting-ms", c.SinceWaiting),
 	}
-	if c.UnansweredBytes > 0 {
+	if c.WasDropped {
 		requestsDropped.Inc()
 		g.log.Write(logger.EventRequestDropped, fields...)
 
--- a/router/internal/gateway/shutdown_read_test.go
+++ b/router/internal/gateway/shutdown_read_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,13 +15,14 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
-// pausingListener accepts connections on which the nth read that returns bytes is held back until resume is closed, as if
-// the process were not running between the system call and the return from Read.
+// pausingListener accepts connections whose nth read is held back until resume is closed, as if the process were not running
+// just before or just after the system call.
 type pausingListener struct {
 	net.Listener
-	pausedRead int
-	paused     chan struct{}
-	resume     chan struct{}
+	pausedRead  int
+	pauseBefore bool
+	paused      chan struct{}
+	resume      chan struct{}
 }
 
 func (l *pausingListener) Accept() (net.Conn, error) {
@@ -29,38 +31,49 @@
 		return nil, err
 	}
 
-	return &pausingConn{Conn: conn, listener: l}, nil
+	return &pausingConn{TCPConn: conn.(*net.TCPConn), listener: l}, nil
 }
 
 type pausingConn struct {
-	net.Conn
+	*net.TCPConn
 	listener *pausingListener
 	reads    int
 }
 
 func (c *pausingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
 	// Reads of one byte are net/http's check for a caller that disconnects.
-	if n == 0 || len(b) == 1 {
-		return n, err
+	if len(b) == 1 {
+		return c.TCPConn.Read(b)
 	}
 	c.reads++
-	if c.reads == c.listener.pausedRead {
-		close(c.listener.paused)
-		<-c.listener.resume
+	isPaused := c.reads == c.listener.pausedRead
+	if isPaused && c.listener.pauseBefore {
+		c.listener.pause()
+	}
+	n, err := c.TCPConn.Read(b)
+	if isPaused && !c.listener.pauseBefore {
+		c.listener.pause()
 	}
 
 	return n, err
 }
 
+func (l *pausingListener) pause() {
+	close(l.paused)
+	<-l.resume
+}
+
 func TestShutdownAnswersRequestThatWasRead(t *testing.T) {
 	tests := []struct {
 		name string
-		// earlierRequests are answered on the connection before the request that is read when the shutdown begins.
+		// earlierRequests are answered on the connection before the request that arrives when the shutdown begins.
 		earlierRequests int
+		pauseBefore     bool
 	}{
-		{"first request of a connection", 0},
-		{"second request of a connection", 1},
+		{"first request of a connection, read", 0, false},
+		{"first request of a connection, arrived", 0, true},
+		{"second request of a connection, read", 1, false},
+		{"second request of a connection, arrived", 1, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -70,7 +83,8 @@
 				t.Fatal(err)
 			}
 			paused := &pausingListener{
-				Listener: l, pausedRead: tt.earlierRequests + 1, paused: make(chan struct{}), resume: make(chan struct{}),
+				Listener: l, pausedRead: tt.earlierRequests + 1, pauseBefore: tt.pauseBefore,
+				paused: make(chan struct{}), resume: make(chan struct{}),
 			}
 			c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 			go func() { _ = c.serve(paused) }()
@@ -79,9 +93,7 @@
 			for range tt.earlierRequests {
 				roundTrip(t, conn, reader)
 			}
-			if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
-				t.Fatal(err)
-			}
+			writeRequests(t, conn, 1)
 			<-paused.paused
 			ended := make(chan error, 1)
 			go func() { ended <- c.shutdown(context.Background()) }()
@@ -90,7 +102,7 @@
 			close(paused.resume)
 			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
 			if _, _, err := readResponse(reader); err != nil {
-				t.Fatalf("a request that was read got no answer: %v", err)
+				t.Fatalf("the request got no answer: %v", err)
 			}
 			if err := <-ended; err != nil {
 				t.Error(err)
@@ -99,6 +111,36 @@
 	}
 }
 
+func TestShutdownAnswersPipelinedRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	running, release := make(chan struct{}, 2), make(chan struct{})
+	c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		running <- struct{}{}
+		<-release
+	}))
+	go func() { _ = c.serve(l) }()
+	conn := dial(t, l.Addr().String())
+	writeRequests(t, conn, 2)
+	<-running
+	ended := make(chan error, 1)
+	go func() { ended <- c.shutdown(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	reader := bufio.NewReader(conn)
+	for n := range 2 {
+		if _, _, err := readResponse(reader); err != nil {
+			t.Fatalf("request %d got no answer: %v", n+1, err)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // newTestCallerServer returns a server whose limits do not change and that refuses requests with 503 during shutdown.
 func newTestCallerServer(handler http.Handler) *callerServer {
 	limits := cataloguer.Limits{MaxHeaderBytes: 4096, HeaderTimeout: timekeeper.Minute, IdleTimeout: timekeeper.Minute}
@@ -110,9 +152,7 @@
 // roundTrip sends a request and reads its response, which must be a success, and returns the response's header.
 func roundTrip(t *testing.T, conn net.Conn, reader *bufio.Reader) http.Header {
 	t.Helper()
-	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
+	writeRequests(t, conn, 1)
 	status, header, err := readResponse(reader)
 	if err != nil {
 		t.Fatal(err)
@@ -124,6 +164,14 @@
 	return header
 }
 
+// writeRequests sends n requests at once.
+func writeRequests(t *testing.T, conn net.Conn, n int) {
+	t.Helper()
+	if _, err := io.WriteString(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", n)); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // readResponse reads a response to its end.
 func readResponse(reader *bufio.Reader) (status int, header http.Header, err error) {
 	response, err := http.ReadResponse(reader, nil)
