--- /dev/null
+++ b/router/internal/server/shutdown_read_test.go
@@ -0,0 +1,172 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"cardamompulley/fleet/configurator"
+	"cardamompulley/fleet/follower"
+	"cardamompulley/fleet/logger"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/fleet/tracer"
+	"cardamompulley/router/internal/settings"
+)
+
+const testToken = "token"
+
+// pausingListener accepts connections on which the nth read that returns bytes is held back until resume is closed, as if
+// the process were not running between the system call and the return from Read.
+type pausingListener struct {
+	net.Listener
+	pausedRead int
+	paused     chan struct{}
+	resume     chan struct{}
+}
+
+func (l *pausingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+
+	return &pausingConn{TCPConn: conn.(*net.TCPConn), listener: l}, nil
+}
+
+// pausingConn has the CloseWrite method of its TCP connection, which the server uses.
+type pausingConn struct {
+	*net.TCPConn
+	listener *pausingListener
+	reads    int
+}
+
+func (c *pausingConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	c.reads++
+	if c.reads == c.listener.pausedRead {
+		close(c.listener.paused)
+		<-c.listener.resume
+	}
+
+	return n, err
+}
+
+func TestShutdownAnswersFirstRequestThatWasRead(t *testing.T) {
+	testShutdownAnswersRequestThatWasRead(t, 0)
+}
+
+// testShutdownAnswersRequestThatWasRead begins the shutdown while a request has been read from a connection on which
+// earlier requests have been answered.
+func testShutdownAnswersRequestThatWasRead(t *testing.T, earlierRequests int) {
+	t.Helper()
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	paused := &pausingListener{
+		Listener: l, pausedRead: earlierRequests + 1, paused: make(chan struct{}), resume: make(chan struct{}),
+	}
+	v := newReadyServer(t)
+	go func() { _ = v.Serve(paused) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	reader := bufio.NewReader(conn)
+	for range earlierRequests {
+		sendRequest(t, conn)
+		if status := readResponse(t, reader); status != http.StatusNotFound {
+			t.Fatalf("status %d", status)
+		}
+	}
+	sendRequest(t, conn)
+	<-paused.paused
+	ended := make(chan error, 1)
+	go func() { ended <- v.Shutdown(context.Background()) }()
+	// Longer than the interval in which the server looks for idle connections.
+	time.Sleep(300 * time.Millisecond)
+	close(paused.resume)
+	if status := readResponse(t, reader); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d", status)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// newReadyServer returns a server whose configuration has no service and one client account, with testToken.
+func newReadyServer(t *testing.T) *Server {
+	t.Helper()
+	platform := startPlatform(t)
+	s := settings.NewSettings()
+	s.ConfigurationService, s.VMList = platform.URL, platform.URL
+	f := follower.NewFollower(s.Settings, model.RoleRouter, configurator.AllParts, timekeeper.NewSystemClock(), logger.NewDiscard())
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-f.Done()
+	})
+	v := NewServer(s, f, tracer.NewDisabledTracer())
+	for deadline := time.Now().Add(5 * time.Second); !v.IsReady(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the server does not become ready")
+		}
+	}
+
+	return v
+}
+
+// startPlatform starts a configuration service and a VM list.
+func startPlatform(t *testing.T) *httptest.Server {
+	t.Helper()
+	accounts := fmt.Appendf(nil, `{"a": {"token-sha256": "%x"}}`, sha256.Sum256([]byte(testToken)))
+	hash := configurator.ContentHash(accounts)
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/config/manifest", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"version": 1, "parts": {"accounts-0": %q}}`, hash)
+	})
+	mux.HandleFunc("/v1/config/values/"+hash, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(accounts) })
+	mux.HandleFunc("/v1/vms", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "[]") })
+	platform := httptest.NewServer(mux)
+	t.Cleanup(platform.Close)
+
+	return platform
+}
+
+func sendRequest(t *testing.T, conn net.Conn) {
+	t.Helper()
+	const request = "GET /services/a/ HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + testToken + "\r\n\r\n"
+	if _, err := io.WriteString(conn, request); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readResponse reads a response to its end and returns its status.
+func readResponse(t *testing.T, reader *bufio.Reader) int {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("a request that was read got no answer: %v", err)
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+
+	return response.StatusCode
+}
