A failing test: the router drops a later request of a connection that was read just before the shutdown

fasthttp marks a kept-alive connection as active only after Peek has returned, and closeIdleConns closes it before that.

--- a/router/internal/server/shutdown_read_test.go
+++ b/router/internal/server/shutdown_read_test.go
@@ -66,6 +66,10 @@
 	testShutdownAnswersRequestThatWasRead(t, 0)
 }
 
+func TestShutdownAnswersLaterRequestThatWasRead(t *testing.T) {
+	testShutdownAnswersRequestThatWasRead(t, 1)
+}
+
 // testShutdownAnswersRequestThatWasRead begins the shutdown while a request has been read from a connection on which
 // earlier requests have been answered.
 func testShutdownAnswersRequestThatWasRead(t *testing.T, earlierRequests int) {
