--- a/router/internal/server/shutdown_read_test.go
+++ b/router/internal/server/shutdown_read_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/gofiber/fiber/v3"
+
 	"cardamompulley/fleet/configurator"
 	"cardamompulley/fleet/follower"
 	"cardamompulley/fleet/logger"
@@ -92,19 +94,19 @@
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 	reader := bufio.NewReader(conn)
 	for range earlierRequests {
-		sendRequest(t, conn)
-		if status := readResponse(t, reader); status != http.StatusNotFound {
+		sendRequest(t, conn, "/services/a/")
+		if status, _ := readResponse(t, reader); status != http.StatusNotFound {
 			t.Fatalf("status %d", status)
 		}
 	}
-	sendRequest(t, conn)
+	sendRequest(t, conn, "/services/a/")
 	<-paused.paused
 	ended := make(chan error, 1)
 	go func() { ended <- v.Shutdown(context.Background()) }()
 	// Longer than the interval in which the server looks for idle connections.
 	time.Sleep(300 * time.Millisecond)
 	close(paused.resume)
-	if status := readResponse(t, reader); status != http.StatusServiceUnavailable {
+	if status, _ := readResponse(t, reader); status != http.StatusServiceUnavailable {
 		t.Errorf("status %d", status)
 	}
 	if err := <-ended; err != nil {
@@ -112,6 +114,55 @@
 	}
 }
 
+func TestShutdownAnnouncesCloseInAnswerOfRunningRequest(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	running, finish := make(chan struct{}), make(chan struct{})
+	v := newReadyServer(t)
+	v.app.Get("/run", func(c fiber.Ctx) error {
+		close(running)
+		<-finish
+
+		return c.SendString("ok")
+	})
+	go func() { _ = v.Serve(l) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	sendRequest(t, conn, "/run")
+	<-running
+	ended := make(chan error, 1)
+	go func() { ended <- v.Shutdown(context.Background()) }()
+	// The listener is closed after the server has recorded that it shuts down.
+	waitUntilClosed(t, l.Addr().String())
+	close(finish)
+	if status, willClose := readResponse(t, bufio.NewReader(conn)); status != http.StatusOK || !willClose {
+		t.Errorf("status %d, announces that the connection closes: %v", status, willClose)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// waitUntilClosed waits until a listener refuses connections.
+func waitUntilClosed(t *testing.T, address string) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+	}
+	t.Fatal("the listener stays open")
+}
+
 // newReadyServer returns a server whose configuration has no service and one client account, with testToken.
 func newReadyServer(t *testing.T) *Server {
 	t.Helper()
@@ -152,16 +203,16 @@
 	return platform
 }
 
-func sendRequest(t *testing.T, conn net.Conn) {
+func sendRequest(t *testing.T, conn net.Conn, path string) {
 	t.Helper()
-	const request = "GET /services/a/ HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + testToken + "\r\n\r\n"
+	request := "GET " + path + " HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + testToken + "\r\n\r\n"
 	if _, err := io.WriteString(conn, request); err != nil {
 		t.Fatal(err)
 	}
 }
 
-// readResponse reads a response to its end and returns its status.
-func readResponse(t *testing.T, reader *bufio.Reader) int {
+// readResponse reads a response to its end. It returns whether the response announces that the connection closes.
+func readResponse(t *testing.T, reader *bufio.Reader) (status int, willClose bool) {
 	t.Helper()
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
@@ -172,5 +223,5 @@
 		t.Fatal(err)
 	}
 
-	return response.StatusCode
+	return response.StatusCode, response.Close
 }
