Idle connections are announced with a Keep-Alive timeout and stay open for it: a shutdown closes none that is in use

A waiting connection was closed while a request for it was on the network: nothing had told the caller that the connection would not last, since its last response came before SIGTERM and idle connections lived for idle-timeout-ms (15 s).

Ruled out: closing later (moves the moment); keeping waiting connections until the grace ends (each stop would take 8 s; half take under 5); refusing on them (they must be closed once all the same).

Change: responses announce Keep-Alive: timeout=2, the drain delay less 300 ms for what is on its way, or less under a shorter idle-timeout-ms or grace. When the delay is over, no caller that keeps to it uses a connection that was idle at SIGTERM. After SIGTERM a response says Connection: close if its head has not been sent, and otherwise its connection is closed with its end. Connection headers are set when the head is sent and no longer when the request begins.

--- a/fleet/drainer/conn.go
+++ b/fleet/drainer/conn.go
@@ -124,4 +124,7 @@
 	c.unansweredBytes = 0
 	c.hasResponded = false
 	c.waitingSince = c.tracker.clock.Now()
+	if c.tracker.closesAfterResponse.Load() {
+		c.expire()
+	}
 }
--- a/fleet/drainer/expiry.go
+++ b/fleet/drainer/expiry.go
@@ -25,6 +25,11 @@
 	if c.tracker.clock.Now()-c.waitingSince < wait {
 		return
 	}
+	c.expire()
+}
+
+// expire makes the reads of a waiting connection return only what has arrived already. c.mu must be held.
+func (c *Conn) expire() {
 	c.isExpired = true
 	// If the connection has been closed, its reader has already been woken.
 	_ = c.Conn.SetReadDeadline(pastDeadline)
--- a/fleet/drainer/tracker.go
+++ b/fleet/drainer/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"cardamompulley/fleet/timekeeper"
 )
@@ -14,6 +15,9 @@
 	OnClosed func(Closed)
 
 	clock timekeeper.Clock
+	// closesAfterResponse is true once connections must not carry another request.
+	closesAfterResponse atomic.Bool
+
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 }
@@ -41,6 +45,12 @@
 	return len(t.conns)
 }
 
+// CloseAfterResponse makes the server close each connection as soon as its current request has been answered. Connections
+// that wait for a request already are not affected.
+func (t *Tracker) CloseAfterResponse() {
+	t.closesAfterResponse.Store(true)
+}
+
 // Waits are the times for which connections may wait for a request during shutdown.
 type Waits struct {
 	// First applies to connections that have not sent a request yet.
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -183,9 +183,20 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.Itoa(length))
 	}
+	p.setConnectionHeaders()
 	p.writer.WriteHeader(status)
 }
 
+// setConnectionHeaders tells the caller not to reuse the connection if the gateway is shutting down.
+func (p *proxiedRequest) setConnectionHeaders() {
+	if !p.forwarder.IsShuttingDown() {
+		return
+	}
+	h := p.writer.Header()
+	h.Set("Connection", "close")
+	h.Del("Keep-Alive")
+}
+
 // relayLarge relays a response that is too large to be buffered. The prefix is the part that has been read already.
 func (p *proxiedRequest) relayLarge(conn *connector.Conn, response *http.Response, prefix []byte) *dispatcher.Failure {
 	p.writeHeader(response.StatusCode, endToEndHeaders(response.Header), int(response.ContentLength))
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -34,7 +34,7 @@
 type Forwarder struct {
 	// CurrentView returns the gateway's current view of the configuration and the endpoints, nil if there is none yet.
 	CurrentView func() *cataloguer.View
-	// IsShuttingDown reports whether the gateway is shutting down; callers' connections then close after their response.
+	// IsShuttingDown reports whether the gateway is shutting down; responses then tell callers to close their connections.
 	IsShuttingDown func() bool
 	// StateReady is closed once the process has its first configuration and list of endpoints.
 	StateReady <-chan struct{}
@@ -88,9 +88,6 @@
 	f.waitForState(r.Context())
 	p := newProxiedRequest(f, w, r)
 	defer func() { p.cancel() }()
-	if f.IsShuttingDown() {
-		w.Header().Set("Connection", "close")
-	}
 	if refusal := p.prepare(); refusal != nil {
 		p.refuse(refusal)
 
@@ -107,7 +104,6 @@
 	p := newProxiedRequest(f, w, r)
 	// If the attempt ID cannot be read, the refusal carries none.
 	p.metadata, _ = platform.DecodeRequestMetadata(r.Header)
-	w.Header().Set("Connection", "close")
 	p.refuse(model.NewRefusal(model.CodeNotReady, "this gateway is stopping").WithRetryAfter(shutdownRetryAfter))
 }
 
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -85,6 +85,7 @@
 		platform.SetRetryAfter(h, r.RetryAfter)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	p.setConnectionHeaders()
 	p.writer.WriteHeader(status)
 	if _, err := p.writer.Write([]byte(r.Detail + "\n")); err != nil {
 		p.abortDisconnected()
--- a/router/internal/gateway/caller_server.go
+++ b/router/internal/gateway/caller_server.go
@@ -39,7 +39,9 @@
 	limits          func() cataloguer.Limits
 	onAcceptError   func(error)
 	conns           *drainer.Tracker
-	isShuttingDown  atomic.Bool
+	// keepAliveTimeout is how long callers may reuse an idle connection; 0 leaves it to them.
+	keepAliveTimeout timekeeper.Millis
+	isShuttingDown   atomic.Bool
 	// done is closed when serve has returned.
 	done chan struct{}
 
@@ -88,7 +90,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if limits := c.limits(); c.currentServer == nil || c.currentServer.limits != limits {
-		c.currentServer = startLimitedServer(c, limits, conn.LocalAddr())
+		c.currentServer = startLimitedServer(c, limits, c.keepAliveTimeout, conn.LocalAddr())
 		c.servers = append(c.servers, c.currentServer)
 	}
 
@@ -121,7 +123,7 @@
 // drain waits until no connection is open, or until the context ends.
 func (c *callerServer) drain(ctx context.Context) error {
 	for c.conns.Len() > 0 {
-		c.conns.ExpireWaiting(drainer.Waits{First: firstRequestTimeout})
+		c.conns.ExpireWaiting(drainer.Waits{First: firstRequestTimeout, Next: c.keepAliveTimeout + closeMargin})
 		if !timekeeper.Sleep(ctx, drainPollInterval) {
 			return ctx.Err()
 		}
--- a/router/internal/gateway/limited_server.go
+++ b/router/internal/gateway/limited_server.go
@@ -6,6 +6,7 @@
 
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/drainer"
+	"cardamompulley/fleet/timekeeper"
 )
 
 // limitedServer serves the connections that were accepted while one set of limits was in force.
@@ -15,10 +16,11 @@
 	conns  *connListener
 }
 
-func startLimitedServer(handler http.Handler, limits cataloguer.Limits, address net.Addr) *limitedServer {
+// startLimitedServer starts a server whose callers may reuse an idle connection for at most keepAlive.
+func startLimitedServer(handler http.Handler, limits cataloguer.Limits, keepAlive timekeeper.Millis, address net.Addr) *limitedServer {
 	s := &limitedServer{limits: limits, conns: newConnListener(address)}
 	s.server = &http.Server{
-		Handler:           handler,
+		Handler:           announceKeepAlive(handler, keepAliveWithin(limits.IdleTimeout, keepAlive)),
 		ReadHeaderTimeout: limits.HeaderTimeout.Duration(),
 		IdleTimeout:       limits.IdleTimeout.Duration(),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
--- a/router/internal/gateway/serve.go
+++ b/router/internal/gateway/serve.go
@@ -23,9 +23,6 @@
 const (
 	// memoryLimitFraction of the configured memory is the limit of the Go runtime; the rest is left for unread bytes.
 	memoryLimitFraction = 0.7
-	// drainDelay is how long a gateway that shuts down still serves new connections, until the platform's balancer has
-	// noticed that it is not ready.
-	drainDelay = 2300 * timekeeper.Millis(1)
 	// readHeaderTimeout is how long the headers of a readiness, metrics or gossip request may take to arrive.
 	readHeaderTimeout = 5 * timekeeper.Second
 	// shutdownMargin is reserved at the end of the shutdown grace, after the wait for running requests.
@@ -48,6 +45,7 @@
 	g := NewGateway(s, clock, log)
 	callerSrv := newCallerServer(g.forwarder, http.HandlerFunc(g.forwarder.RefuseAtShutdown), g.callerLimits,
 		func(err error) { g.logListenerError(purposeCallers, err) })
+	callerSrv.keepAliveTimeout = s.keepAliveTimeout()
 	callerSrv.conns.OnClosed = g.recordClosedConn
 	background, stopBackground := context.WithCancel(context.Background())
 	var w conc.WaitGroup
@@ -75,8 +73,9 @@
 func (g *Gateway) drain(callers *callerServer) error {
 	g.log.Write(logger.EventShutdownStarted)
 	g.isShuttingDown.Store(true)
+	callers.conns.CloseAfterResponse()
 	end := g.clock.Now() + g.settings.ShutdownGrace - shutdownMargin
-	timekeeper.Sleep(context.Background(), min(drainDelay, g.settings.ShutdownGrace/2))
+	timekeeper.Sleep(context.Background(), g.settings.drainDelay())
 	ctx, cancel := context.WithTimeout(context.Background(), (end - g.clock.Now()).Duration())
 	defer cancel()
 
