An endpoint connection is closed for the request that uses it, and not for the one before

What callers saw: 502 "use of closed network connection" for a request whose own caller was still there; a request that may run only once is lost by it, and its endpoint counts as having failed it.

Cause: sendToEndpoint armed context.AfterFunc(p.ctx, conn.Close) and disarmed it only when it returned, but relayResponse and finishStream put the connection back into the pool before that. A caller that disconnected, or ran into its deadline, while its answer was still being written closed the connection under the next request. The window is longest for callers that read slowly.

Change: the pool binds a connection to the context of the request that gets it, and Put ends that; if the context has ended, Put closes the connection. Nobody else closes it.

Why it works: stop reports whether the close has begun, so a connection in the pool has no close pending.

--- a/router/internal/connector/conn.go
+++ b/router/internal/connector/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -36,6 +37,8 @@
 	// IsReused is true if the connection was taken from the idle connections of its pool.
 	IsReused bool
 
+	// unbind keeps the end of the request's context from closing the connection; it returns false if that has begun.
+	unbind      func() bool
 	endpoint    model.EndpointID
 	netConn     net.Conn
 	reader      *bufio.Reader
@@ -46,11 +49,26 @@
 }
 
 func newConn(id model.EndpointID, c net.Conn) *Conn {
-	return &Conn{endpoint: id, netConn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	return &Conn{
+		unbind:      notBound,
+		endpoint:    id,
+		netConn:     c,
+		reader:      bufio.NewReaderSize(c, readBufferBytes),
+		idleTimeout: defaultIdleTimeout,
+	}
+}
+
+// notBound is the unbind of a connection that no request uses.
+func notBound() bool { return true }
+
+// bind closes the connection when the context of its request ends.
+func (c *Conn) bind(ctx context.Context) {
+	c.unbind = context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
 }
 
 // Close closes the connection. The endpoint aborts a request that is still running.
 func (c *Conn) Close() {
+	c.unbind()
 	_ = c.netConn.Close()
 }
 
--- a/router/internal/connector/pool.go
+++ b/router/internal/connector/pool.go
@@ -57,23 +57,36 @@
 	}
 }
 
-// Get returns an idle connection to an endpoint, or opens one. Errors match ErrDial.
+// Get returns an idle connection to an endpoint, or opens one. The connection closes when ctx ends, unless it is back in the
+// pool. Errors match ErrDial.
 func (p *Pool) Get(ctx context.Context, id model.EndpointID, address string) (*Conn, error) {
+	c := p.takeUsable(id)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, id, address); err != nil {
+			return nil, err
+		}
+	}
+	c.bind(ctx)
+
+	return c, nil
+}
+
+// takeUsable removes and returns an idle connection that can carry a request, or returns nil.
+func (p *Pool) takeUsable(id model.EndpointID) *Conn {
 	for {
 		c := p.popIdle(id)
 		if c == nil {
-			break
+			return nil
 		}
 		if c.expiresAt > p.clock.Now() && c.isUsable() {
 			connectionsReused.Inc()
 			c.IsReused = true
 
-			return c, nil
+			return c
 		}
 		c.Close()
 	}
-
-	return p.dial(ctx, id, address)
 }
 
 // Probe opens a connection to an endpoint to check that it accepts connections, and keeps it in the pool. Errors match
@@ -112,8 +125,15 @@
 	return c
 }
 
-// Put returns a connection to the pool. The response to its last request must have been read to its end.
+// Put returns a connection to the pool. The response to its last request must have been read to its end. If the context of
+// that request has ended, the connection is closed.
 func (p *Pool) Put(c *Conn) {
+	if !c.unbind() {
+		c.Close()
+
+		return
+	}
+	c.unbind = notBound
 	now := p.clock.Now()
 	c.expiresAt = now + c.idleTimeout - min(idleTimeoutMargin, c.idleTimeout/4)
 	p.mu.Lock()
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -52,8 +51,6 @@
 
 		return p.newFailure(err, retrier.AttemptFailure{})
 	}
-	stop := context.AfterFunc(p.ctx, conn.Close)
-	defer stop()
 	p.endpointsReached++
 	response, err := conn.Send(p.endpointRequest())
 	if err != nil {
