A stopping gateway accepts the connections that have arrived before it closes its listener

What callers saw: a connection that was open for the caller was reset with its request in it, at the end of a shutdown.

The shutdown closed the listener under the goroutine that accepts from it; connections in the accept queue were reset.

Evidence: TestShutdownAnswersConnectionThatHasArrived (connection reset by peer before).

Change: drainer.Listener tracks what it accepts, and a shutdown finishes it: the accepting goroutine takes what has arrived, and closes the listener itself once poll reports none.

--- a/router/internal/gateway/caller_server.go
+++ b/router/internal/gateway/caller_server.go
@@ -42,11 +42,9 @@
 	// keepAliveTimeout is how long callers may reuse an idle connection; 0 leaves it to them.
 	keepAliveTimeout timekeeper.Millis
 	isShuttingDown   atomic.Bool
-	// done is closed when serve has returned.
-	done chan struct{}
 
 	mu            sync.Mutex
-	listener      net.Listener
+	listener      *drainer.Listener
 	currentServer *limitedServer
 	servers       []*limitedServer
 }
@@ -58,18 +56,20 @@
 		limits:          limits,
 		onAcceptError:   onAcceptError,
 		conns:           drainer.NewTracker(timekeeper.NewSystemClock()),
-		done:            make(chan struct{}),
 	}
 }
 
 // serve accepts connections until the listener is closed.
 func (c *callerServer) serve(l net.Listener) error {
-	defer close(c.done)
+	tracked, err := drainer.NewListener(l, c.conns)
+	if err != nil {
+		return err
+	}
 	c.mu.Lock()
-	c.listener = l
+	c.listener = tracked
 	c.mu.Unlock()
 	for {
-		conn, err := l.Accept()
+		conn, err := tracked.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return nil
@@ -79,9 +79,8 @@
 
 			continue
 		}
-		tracked := c.conns.Track(conn)
-		if !c.dispatch(tracked) {
-			_ = tracked.Close()
+		if !c.dispatch(conn) {
+			_ = conn.Close()
 		}
 	}
 }
@@ -112,7 +111,7 @@
 // shutdownHandler. The listener stays open until the running requests have ended.
 func (c *callerServer) shutdown(ctx context.Context) error {
 	c.isShuttingDown.Store(true)
-	err := errors.Join(c.drain(ctx), c.closeListener())
+	err := errors.Join(c.drain(ctx), c.finishListener())
 	if err == nil {
 		err = c.drain(ctx)
 	}
@@ -132,18 +131,16 @@
 	return nil
 }
 
-// closeListener closes the listener and returns when all connections that it had accepted are tracked.
-func (c *callerServer) closeListener() error {
+// finishListener closes the listener once all connections that have arrived are accepted.
+func (c *callerServer) finishListener() error {
 	c.mu.Lock()
 	l := c.listener
 	c.mu.Unlock()
 	if l == nil {
 		return nil
 	}
-	err := l.Close()
-	<-c.done
 
-	return err
+	return l.Finish()
 }
 
 // closeServers closes the connections that are still open.
--- a/router/internal/gateway/keep_alive_test.go
+++ b/router/internal/gateway/keep_alive_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -15,10 +14,7 @@
 // serveTest serves a handler on loopback with a Keep-Alive timeout of one second.
 func serveTest(t *testing.T, handler http.Handler) (c *callerServer, address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := listenTCP(t)
 	c = newTestCallerServer(handler)
 	c.keepAliveTimeout = timekeeper.Second
 	go func() { _ = c.serve(l) }()
--- a/router/internal/gateway/shutdown_read_test.go
+++ b/router/internal/gateway/shutdown_read_test.go
@@ -18,7 +18,7 @@
 // pausingListener accepts connections whose nth read is held back until resume is closed, as if the process were not running
 // just before or just after the system call.
 type pausingListener struct {
-	net.Listener
+	*net.TCPListener
 	pausedRead  int
 	pauseBefore bool
 	paused      chan struct{}
@@ -26,12 +26,12 @@
 }
 
 func (l *pausingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
 
-	return &pausingConn{TCPConn: conn.(*net.TCPConn), listener: l}, nil
+	return &pausingConn{TCPConn: conn, listener: l}, nil
 }
 
 type pausingConn struct {
@@ -78,12 +78,9 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
+			l := listenTCP(t)
 			paused := &pausingListener{
-				Listener: l, pausedRead: tt.earlierRequests + 1, pauseBefore: tt.pauseBefore,
+				TCPListener: l, pausedRead: tt.earlierRequests + 1, pauseBefore: tt.pauseBefore,
 				paused: make(chan struct{}), resume: make(chan struct{}),
 			}
 			c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
@@ -111,11 +108,43 @@
 	}
 }
 
-func TestShutdownAnswersPipelinedRequest(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+// lateListener accepts connections only after resume is closed, as if the process were not running.
+type lateListener struct {
+	*net.TCPListener
+	resume chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.resume
+
+	return l.TCPListener.Accept()
+}
+
+func TestShutdownAnswersConnectionThatHasArrived(t *testing.T) {
+	l := &lateListener{TCPListener: listenTCP(t), resume: make(chan struct{})}
+	c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	go func() { _ = c.serve(l) }()
+	conn := dial(t, l.Addr().String())
+	writeRequests(t, conn, 1)
+	ended := make(chan error, 1)
+	go func() { ended <- c.shutdown(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	close(l.resume)
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, _, err := readResponse(bufio.NewReader(conn)); err != nil {
+		t.Errorf("the request got no answer: %v", err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
 	}
+	if conn, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		_ = conn.Close()
+		t.Error("the listener is still open")
+	}
+}
+
+func TestShutdownAnswersPipelinedRequest(t *testing.T) {
+	l := listenTCP(t)
 	running, release := make(chan struct{}, 2), make(chan struct{})
 	c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		running <- struct{}{}
@@ -164,6 +193,16 @@
 	return header
 }
 
+func listenTCP(t *testing.T) *net.TCPListener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return l.(*net.TCPListener)
+}
+
 // writeRequests sends n requests at once.
 func writeRequests(t *testing.T, conn net.Conn, n int) {
 	t.Helper()
