--- a/router/internal/gateway/caller_server_test.go
+++ b/router/internal/gateway/caller_server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,7 +16,7 @@
 
 // startCallerServer starts a server on loopback with limits that the test may change. Requests for /long signal running and
 // block until releaseAll is called.
-func startCallerServer(t *testing.T, limits *cataloguer.Limits) (
+func startCallerServer(t *testing.T, limits *atomic.Pointer[cataloguer.Limits]) (
 	c *callerServer, address string, running chan struct{}, releaseAll func(),
 ) {
 	t.Helper()
@@ -27,7 +28,7 @@
 		}
 	})
 	shutdownHandler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
-	c = newCallerServer(handler, shutdownHandler, func() cataloguer.Limits { return *limits }, func(error) {})
+	c = newCallerServer(handler, shutdownHandler, func() cataloguer.Limits { return *limits.Load() }, func(error) {})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -59,14 +60,18 @@
 // Guards against shutting down servers one after the other: the server for newer limits would keep taking requests on open
 // connections while the server for older limits waits for a running request.
 func TestServersShutDownConcurrently(t *testing.T) {
-	limits := cataloguer.Limits{MaxHeaderBytes: 4096, HeaderTimeout: timekeeper.Second, IdleTimeout: timekeeper.Minute}
+	older := cataloguer.Limits{MaxHeaderBytes: 4096, HeaderTimeout: timekeeper.Second, IdleTimeout: timekeeper.Minute}
+	newer := older
+	newer.MaxHeaderBytes *= 2
+	var limits atomic.Pointer[cataloguer.Limits]
+	limits.Store(&older)
 	c, address, running, releaseAll := startCallerServer(t, &limits)
 	long := dial(t, address)
 	if _, err := io.WriteString(long, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
 	<-running
-	limits.MaxHeaderBytes *= 2
+	limits.Store(&newer)
 	kept := dial(t, address)
 	if _, err := io.WriteString(kept, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
 		t.Fatal(err)
@@ -88,7 +93,8 @@
 // Guards against leaving open a connection that has not sent a request: http.Server would close it without a response when
 // the request arrives.
 func TestShutdownClosesConnectionsWithoutRequests(t *testing.T) {
-	limits := cataloguer.Limits{MaxHeaderBytes: 4096, HeaderTimeout: timekeeper.Minute, IdleTimeout: timekeeper.Minute}
+	var limits atomic.Pointer[cataloguer.Limits]
+	limits.Store(&cataloguer.Limits{MaxHeaderBytes: 4096, HeaderTimeout: timekeeper.Minute, IdleTimeout: timekeeper.Minute})
 	c, address, running, releaseAll := startCallerServer(t, &limits)
 	long := dial(t, address)
 	if _, err := io.WriteString(long, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
