A shutdown waits for the connections that were open when it began, and its last part has a bound

One silent connection every 50 ms held the process until its grace ended; it then cut what it had just accepted and exited with 1. And Listener.Finish had no bound: with no file descriptor left it never returned.

Cause: a condition over a set that others add to. Change: Tracker.Drain waits for the connections that were open when it is called. The listener is finished after that, and what came meanwhile is drained in turn, now that nothing is added; both have until 200 ms after the wait for running requests. Finish ends with its context; an error of accept other than the deadline closes the listener; it takes what has arrived and nothing that comes later.

--- a/fleet/drainer/conn.go
+++ b/fleet/drainer/conn.go
@@ -16,6 +16,8 @@
 	net.Conn
 
 	tracker *Tracker
+	// number counts the connections of the tracker in the order in which they were accepted.
+	number int64
 
 	mu sync.Mutex
 	// isWaiting is true while no byte of the next request has been read.
--- a/fleet/drainer/listener.go
+++ b/fleet/drainer/listener.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -34,8 +35,9 @@
 	socket
 	tracker     *Tracker
 	isFinishing atomic.Bool
-	once        sync.Once
-	done        chan struct{}
+	closeSocket func() error
+	// done is closed when the listener has been closed.
+	done chan struct{}
 }
 
 // NewListener returns a listener that accepts the connections of l and tracks them. It returns ErrListener if l cannot be
@@ -45,47 +47,69 @@
 	if !ok {
 		return nil, fmt.Errorf("%w: %T", ErrListener, l)
 	}
+	done := make(chan struct{})
+	closeSocket := sync.OnceValue(func() error {
+		defer close(done)
 
-	return &Listener{socket: s, tracker: t, done: make(chan struct{})}, nil
+		return s.Close()
+	})
+
+	return &Listener{socket: s, tracker: t, closeSocket: closeSocket, done: done}, nil
 }
 
 // Accept waits for the next connection. Once the listener is being finished, it returns the connections that have arrived, then
-// closes the listener and returns net.ErrClosed.
+// closes the listener and returns net.ErrClosed. Any other error while it is being finished closes the listener, too.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.socket.Accept()
 		if err == nil {
+			l.stopWaiting()
+
 			return l.tracker.Track(conn), nil
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !l.isFinishing.Load() {
+		if !l.isFinishing.Load() {
 			return nil, err
 		}
-		if hasArrived, err := l.hasArrived(); err != nil || !hasArrived {
-			return nil, errors.Join(net.ErrClosed, err, l.Close())
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, errors.Join(err, l.Close())
+		}
+		hasArrived, err := l.hasArrived()
+		if err != nil {
+			return nil, errors.Join(err, l.Close())
+		}
+		if !hasArrived {
+			return nil, errors.Join(net.ErrClosed, l.Close())
 		}
 		if err := l.SetDeadline(time.Now().Add(arrivedTimeout.Duration())); err != nil {
-			return nil, err
+			return nil, errors.Join(err, l.Close())
 		}
 	}
 }
 
-// Finish makes Accept return only connections that have arrived, and returns once it has closed the listener. It must be called
-// while a goroutine accepts connections.
-func (l *Listener) Finish() error {
+// stopWaiting makes the next accept return at once if the listener is being finished.
+func (l *Listener) stopWaiting() {
+	if l.isFinishing.Load() {
+		// If the listener has been closed, the next accept reports it.
+		_ = l.SetDeadline(pastDeadline)
+	}
+}
+
+// Finish makes Accept return the connections that have arrived and no others, and returns once the listener is closed. It closes
+// the listener itself if the context ends before.
+func (l *Listener) Finish(ctx context.Context) error {
 	l.isFinishing.Store(true)
-	if err := l.SetDeadline(pastDeadline); err != nil {
-		return err
+	l.stopWaiting()
+	select {
+	case <-l.done:
+	case <-ctx.Done():
 	}
-	<-l.done
 
-	return nil
+	return l.Close()
 }
 
-// Close closes the listener.
+// Close closes the listener. It may be called more than once.
 func (l *Listener) Close() error {
-	l.once.Do(func() { close(l.done) })
-
-	return l.socket.Close()
+	return l.closeSocket()
 }
 
 // hasArrived reports whether a connection can be accepted without waiting.
@@ -97,7 +121,10 @@
 	n := 0
 	var pollErr error
 	err = raw.Control(func(fd uintptr) {
-		n, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		pollErr = unix.EINTR
+		for errors.Is(pollErr, unix.EINTR) {
+			n, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		}
 	})
 
 	return n > 0, errors.Join(err, pollErr)
--- a/fleet/drainer/tracker.go
+++ b/fleet/drainer/tracker.go
@@ -26,8 +26,10 @@
 	// closesAfterResponse is true once connections must not carry another request.
 	closesAfterResponse atomic.Bool
 
-	mu    sync.Mutex
-	conns map[*Conn]struct{}
+	mu sync.Mutex
+	// accepted is the number of connections that have been tracked so far.
+	accepted int64
+	conns    map[*Conn]struct{}
 }
 
 // NewTracker returns a tracker without connections.
@@ -40,6 +42,8 @@
 	c := newConn(conn, t)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.accepted++
+	c.number = t.accepted
 	t.conns[c] = struct{}{}
 
 	return c
@@ -76,10 +80,11 @@
 	}
 }
 
-// Drain expires the connections that wait for a request, as ExpireWaiting does, until no connection is open. It returns the
-// error of the context if that ends first.
+// Drain expires the connections that wait for a request, as ExpireWaiting does, until none of those that are open now is left.
+// It does not wait for connections that are accepted meanwhile, which may never end. It returns the error of the context if
+// that ends first.
 func (t *Tracker) Drain(ctx context.Context, w Waits) error {
-	for t.Len() > 0 {
+	for last := t.lastAccepted(); t.isAnyOpen(last); {
 		t.ExpireWaiting(w)
 		if !timekeeper.Sleep(ctx, drainPollInterval) {
 			return ctx.Err()
@@ -89,6 +94,27 @@
 	return nil
 }
 
+// lastAccepted returns the number of the connection that was tracked last.
+func (t *Tracker) lastAccepted() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.accepted
+}
+
+// isAnyOpen reports whether one of the connections up to the given number is open.
+func (t *Tracker) isAnyOpen(last int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		if c.number <= last {
+			return true
+		}
+	}
+
+	return false
+}
+
 func (t *Tracker) remove(c *Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/router/internal/gateway/caller_server.go
+++ b/router/internal/gateway/caller_server.go
@@ -14,8 +14,13 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
-// acceptRetryDelay leaves time for file descriptors to be released after Accept has failed.
-const acceptRetryDelay = 5 * timekeeper.Millis(1)
+const (
+	// acceptRetryDelay leaves time for file descriptors to be released after Accept has failed.
+	acceptRetryDelay = 5 * timekeeper.Millis(1)
+	// lateTimeout is how long after the wait for running requests the refusals on late connections may take. It is shorter
+	// than shutdownMargin.
+	lateTimeout = 200 * timekeeper.Millis(1)
+)
 
 // initialLimits apply until the first configuration arrives.
 var initialLimits = cataloguer.Limits{
@@ -101,24 +106,32 @@
 
 // shutdown closes connections that wait for a request and waits for running requests until the context ends. Requests that
 // begin in the meantime, from callers that do not know of the shutdown yet or whose packets were delayed, get a refusal from
-// shutdownHandler. The listener stays open until the running requests have ended.
+// shutdownHandler. The listener stays open until the running requests have ended; the connections that were accepted last have
+// lateTimeout after the end of the context.
 func (c *callerServer) shutdown(ctx context.Context) error {
 	c.isShuttingDown.Store(true)
-	err := errors.Join(c.drain(ctx), c.finishListener())
-	if err == nil {
-		err = c.drain(ctx)
-	}
+	running := c.drain(ctx)
+	late, cancel := extend(ctx, lateTimeout)
+	defer cancel()
+
+	return errors.Join(running, c.finishListener(late), c.drain(late), c.closeServers())
+}
+
+// extend returns a context that ends a while after ctx does.
+func extend(ctx context.Context, d timekeeper.Millis) (context.Context, context.CancelFunc) {
+	extended, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	context.AfterFunc(ctx, func() { time.AfterFunc(d.Duration(), cancel) })
 
-	return errors.Join(err, c.closeServers())
+	return extended, cancel
 }
 
-// drain waits until no connection is open, or until the context ends.
+// drain waits until the connections that are open now have ended, or until the context ends.
 func (c *callerServer) drain(ctx context.Context) error {
 	return c.conns.Drain(ctx, drainer.Waits{First: drainer.FirstRequestTimeout, Next: c.keepAliveTimeout + closeMargin})
 }
 
 // finishListener closes the listener once all connections that have arrived are accepted.
-func (c *callerServer) finishListener() error {
+func (c *callerServer) finishListener(ctx context.Context) error {
 	c.mu.Lock()
 	l := c.listener
 	c.mu.Unlock()
@@ -126,7 +139,7 @@
 		return nil
 	}
 
-	return l.Finish()
+	return l.Finish(ctx)
 }
 
 // closeServers closes the connections that are still open.
--- /dev/null
+++ b/router/internal/gateway/shutdown_end_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+func TestShutdownEndsWhileCallersKeepConnecting(t *testing.T) {
+	l := listenTCP(t)
+	c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	go func() { _ = c.serve(l) }()
+	go func() {
+		// Silent connections overlap, since each stays open for a while; the loop ends when the listener closes.
+		for {
+			conn, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	time.Sleep(200 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := c.shutdown(ctx); err != nil {
+		t.Errorf("callers that keep connecting hold up the shutdown: %v", err)
+	}
+}
+
+func TestShutdownEndsWithItsContext(t *testing.T) {
+	l := &lateListener{TCPListener: listenTCP(t), resume: make(chan struct{})}
+	defer close(l.resume)
+	c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	go func() { _ = c.serve(l) }()
+	dial(t, l.Addr().String())
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- c.shutdown(ctx) }()
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Error("the shutdown goes on after its context and lateTimeout have ended")
+	}
+}
