A connection that expires on part of a pipelined head closes, and does not call the request bad

What callers saw: 400 for a request of which only the beginning had arrived with the one before, when the shutdown expired its connection; a 400 is never repeated.

Cause: net/http takes a head that ends early within its buffer for a malformed one. Change: once the reads of a connection have expired, nothing is written to it: net/http tells a connection active as soon as a head is whole, so what is left to write is an error about a part of one.

Evidence: TestExpiredConnectionClosesOnPartOfPipelinedHead failed 3 of 3 before (status 400) and passes 5 of 5 with the race detector. TestPipelinedRequestRunsAfterResponseThatClosesItsConnection and TestShutdownReadsTheRestOfARequest passed before, too; the second guards the restoring of deadlines, which no test did.

--- a/fleet/drainer/conn.go
+++ b/fleet/drainer/conn.go
@@ -69,13 +69,26 @@
 	}
 }
 
-// Write writes to the connection.
+// Write writes to the connection. It returns net.ErrClosed once the reads of the connection have expired: what a server writes
+// then is an error about a request of which only the beginning has arrived, and its caller may repeat a request that is closed
+// on, but not one that is called bad.
 func (c *Conn) Write(b []byte) (int, error) {
+	if !c.beginResponse() {
+		return 0, net.ErrClosed
+	}
+
+	return c.Conn.Write(b)
+}
+
+func (c *Conn) beginResponse() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isExpired {
+		return false
+	}
 	c.hasResponded = true
-	c.mu.Unlock()
 
-	return c.Conn.Write(b)
+	return true
 }
 
 // SetReadDeadline sets the deadline of reads. It takes effect once the reads of the connection have not expired.
--- a/router/internal/gateway/shutdown_read_test.go
+++ b/router/internal/gateway/shutdown_read_test.go
@@ -170,6 +170,70 @@
 	}
 }
 
+func TestPipelinedRequestRunsAfterResponseThatClosesItsConnection(t *testing.T) {
+	c, address := serveTest(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	c.conns.CloseAfterResponse()
+	conn := dial(t, address)
+	reader := bufio.NewReader(conn)
+	writeRequests(t, conn, 2)
+	for n := range 2 {
+		if _, _, err := readResponse(reader); err != nil {
+			t.Fatalf("request %d got no answer: %v", n+1, err)
+		}
+	}
+}
+
+func TestShutdownReadsTheRestOfARequest(t *testing.T) {
+	l := &pausingListener{
+		TCPListener: listenTCP(t), pausedRead: 1, pauseBefore: true, paused: make(chan struct{}), resume: make(chan struct{}),
+	}
+	c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	go func() { _ = c.serve(l) }()
+	conn := dial(t, l.Addr().String())
+	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	_, _ = io.WriteString(conn, request[:8])
+	<-l.paused
+	ended := make(chan error, 1)
+	go func() { ended <- c.shutdown(context.Background()) }()
+	time.Sleep(700 * time.Millisecond)
+	close(l.resume)
+	time.Sleep(100 * time.Millisecond)
+	_, _ = io.WriteString(conn, request[8:])
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if status, _, err := readResponse(bufio.NewReader(conn)); err != nil || status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, error %v", status, err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestExpiredConnectionClosesOnPartOfPipelinedHead(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	c, address := serveTest(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(running)
+		<-release
+	}))
+	conn := dial(t, address)
+	reader := bufio.NewReader(conn)
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HT")
+	<-running
+	c.conns.CloseAfterResponse()
+	close(release)
+	if _, _, err := readResponse(reader); err != nil {
+		t.Fatal(err)
+	}
+	if status, _, err := readResponse(reader); err == nil {
+		t.Errorf("a request that has arrived in part is answered with status %d", status)
+	}
+}
+
 // newTestCallerServer returns a server whose limits do not change and that refuses requests with 503 during shutdown.
 func newTestCallerServer(handler http.Handler) *callerServer {
 	limits := cataloguer.Limits{MaxHeaderBytes: 4096, HeaderTimeout: timekeeper.Minute, IdleTimeout: timekeeper.Minute}
