request-dropped is written during shutdown alone, as a warning; an interim response is no answer

Found by the review: any caller that stops sending in the middle of a head raised the alarm at its header timeout, so outsiders could flood it; and 100 Continue counted as an answer. A new row of TestClosedConnReportsUnansweredRequest failed before.

--- a/fleet/drainer/conn.go
+++ b/fleet/drainer/conn.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"os"
@@ -10,6 +11,9 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
+// interimPrefix begins an interim response, such as 100 Continue; the response itself follows.
+var interimPrefix = []byte("HTTP/1.1 1")
+
 // Conn is a tracked connection. Its server reports with SetActive and SetWaiting when a request begins and when it has been
 // answered.
 type Conn struct {
@@ -73,20 +77,21 @@
 // then is an error about a request of which only the beginning has arrived, and its caller may repeat a request that is closed
 // on, but not one that is called bad.
 func (c *Conn) Write(b []byte) (int, error) {
-	if !c.beginResponse() {
+	if !c.beginResponse(!bytes.HasPrefix(b, interimPrefix)) {
 		return 0, net.ErrClosed
 	}
 
 	return c.Conn.Write(b)
 }
 
-func (c *Conn) beginResponse() bool {
+// beginResponse records that a response begins if isFinal, and reports whether it may.
+func (c *Conn) beginResponse(isFinal bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isExpired {
 		return false
 	}
-	c.hasResponded = true
+	c.hasResponded = c.hasResponded || isFinal
 
 	return true
 }
--- a/fleet/drainer/conn_test.go
+++ b/fleet/drainer/conn_test.go
@@ -20,6 +20,10 @@
 			drainer.Closed{WasWaiting: true, SinceRead: 300, SinceWaiting: 300}},
 		{"has read a request", func(c *drainer.Conn, clock *timekeeper.ManualClock) { readRequest(c); clock.Advance(200) },
 			drainer.Closed{WasDropped: true, UnansweredBytes: len(request), SinceRead: 200, SinceWaiting: 500}},
+		{"has sent an interim response", func(c *drainer.Conn, _ *timekeeper.ManualClock) {
+			readRequest(c)
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		}, drainer.Closed{WasDropped: true, UnansweredBytes: len(request), SinceWaiting: 300}},
 		{"responds", func(c *drainer.Conn, _ *timekeeper.ManualClock) { readRequest(c); respond(c) },
 			drainer.Closed{UnansweredBytes: len(request), SinceWaiting: 300}},
 		{"waits for the second request", func(c *drainer.Conn, clock *timekeeper.ManualClock) {
--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -16,7 +16,7 @@
 	EventSettingsInvalid          = Event{106, "settings-invalid", levelAlarm, "The changed settings file is invalid and was rejected; the previous settings stay in force."}
 	EventListenerFailed           = Event{107, "listener-failed", levelAlarm, "A listener stopped while the process is running."}
 	EventConnClosedAtShutdown     = Event{108, "connection-closed-at-shutdown", levelInfo, "A caller's connection that waited for a request was closed during shutdown."}
-	EventRequestDropped           = Event{109, "request-dropped", levelAlarm, "A caller's connection was closed although a request, or a part of one, had been read and nothing was answered."}
+	EventRequestDropped           = Event{109, "request-dropped", levelWarn, "A caller's connection was closed during shutdown although a request, or a part of one, had been read and nothing was answered."}
 	EventConfigAccepted           = Event{200, "configuration-accepted", levelInfo, "A newer configuration version is in force."}
 	EventConfigInvalid            = Event{201, "configuration-invalid", levelAlarm, "A configuration version is invalid and was rejected; the last valid one stays in force."}
 	EventConfigConflict           = Event{202, "configuration-conflict", levelAlarm, "Two different configurations have the same version number."}
--- a/router/internal/gateway/closed_conns.go
+++ b/router/internal/gateway/closed_conns.go
@@ -12,9 +12,13 @@
 	connsClosedAtShutdown = metrics.NewCounter("gateway_connections_closed_at_shutdown_total")
 )
 
-// recordClosedConn counts and logs a caller's connection whose close may have cost a request: one on which a request has been
-// read and not answered, and during shutdown one that waited for a request, since a caller may just have sent it.
+// recordClosedConn counts and logs a caller's connection whose close during shutdown may have cost a request: one on which a
+// request, or a part of one, has been read and not answered, and one that waited for a request, since a caller may just have
+// sent it. At other times connections are closed on callers that stop sending.
 func (g *Gateway) recordClosedConn(c drainer.Closed) {
+	if !g.isShuttingDown.Load() {
+		return
+	}
 	fields := []logger.Field{
 		logger.String("caller", c.RemoteAddr),
 		logger.Int("requests", c.Requests),
@@ -28,7 +32,7 @@
 
 		return
 	}
-	if c.WasWaiting && g.isShuttingDown.Load() {
+	if c.WasWaiting {
 		connsClosedAtShutdown.Inc()
 		g.log.Write(logger.EventConnClosedAtShutdown, fields...)
 	}
