Tests that hold what the fixes wire together

The review's mutations passed every test: the close announced after SIGTERM, connections that close with their stream, Put after the end of its request, the second drain, the restored deadline. Each has a test now.

--- a/experimenter/internal/launcher/gateway_slow_request_test.go
+++ b/experimenter/internal/launcher/gateway_slow_request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -34,23 +35,30 @@
 	k := &keptConn{Conn: conn, reader: bufio.NewReader(conn)}
 	_, err = io.WriteString(conn, lookupRequest())
 	must(t, err)
-	header, err := k.readResponse()
+	response, err := k.readResponse()
 	must(t, err)
-	seconds, err := strconv.Atoi(strings.TrimPrefix(header.Get("Keep-Alive"), "timeout="))
+	keepAlive := response.header.Get("Keep-Alive")
+	seconds, err := strconv.Atoi(strings.TrimPrefix(keepAlive, "timeout="))
 	if err != nil {
-		t.Fatalf("Keep-Alive %q", header.Get("Keep-Alive"))
+		t.Fatalf("Keep-Alive %q", keepAlive)
 	}
 	k.reusableUntil = time.Now().Add(time.Duration(seconds) * time.Second)
 
 	return k
 }
 
+type keptResponse struct {
+	header http.Header
+	// closes is true if the gateway announces that it closes the connection.
+	closes bool
+}
+
 // readResponse reads a success or a refusal to its end.
-func (k *keptConn) readResponse() (http.Header, error) {
+func (k *keptConn) readResponse() (keptResponse, error) {
 	_ = k.SetReadDeadline(time.Now().Add(4 * time.Second))
 	response, err := http.ReadResponse(k.reader, nil)
 	if err != nil {
-		return nil, err
+		return keptResponse{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, err = io.Copy(io.Discard, response.Body)
@@ -59,10 +67,11 @@
 		err = fmt.Errorf("status %d", response.StatusCode)
 	}
 
-	return response.Header, err
+	return keptResponse{header: response.Header, closes: response.Close}, err
 }
 
-// sendInTwoParts sends a request whose rest follows after a pause, as if a packet had been lost, and reads the response.
+// sendInTwoParts sends a request whose rest follows after a pause, as if a packet had been lost, and reads the response, which
+// must announce that the connection closes.
 func (k *keptConn) sendInTwoParts(length int, pause time.Duration) error {
 	request := lookupRequest()
 	if _, err := io.WriteString(k, request[:length]); err != nil {
@@ -72,7 +81,10 @@
 	if _, err := io.WriteString(k, request[length:]); err != nil {
 		return err
 	}
-	_, err := k.readResponse()
+	response, err := k.readResponse()
+	if err == nil && !response.closes {
+		return errors.New("the response does not announce that the connection closes")
+	}
 
 	return err
 }
@@ -124,3 +136,26 @@
 		must(t, g.Stop())
 	}
 }
+
+func TestGatewayClosesConnectionWithStreamThatEndsDuringShutdown(t *testing.T) {
+	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways, s.EventsPerStream, s.EventInterval = 1, 30, 20 })
+	conn := openKeptConn(t, f.Gateways[0])
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nCardamompulley-Attempt-Id: attempt-%d\r\nCardamompulley-Key: %s\r\n"+
+		"Cardamompulley-Model: m\r\nCardamompulley-Token-Counts: 120,80\r\nCardamompulley-Prompt-Prefix: a1:50\r\nContent-Length: 0\r\n\r\n",
+		draftsPath, launcher.GatewayHost, attemptCounter.Add(1), launcher.GatewayAPIKey)
+	must(t, err)
+	_, err = conn.reader.Peek(1)
+	must(t, err)
+	must(t, f.Gateways[0].Signal(syscall.SIGTERM))
+	stopped := time.Now()
+	_, err = conn.readResponse()
+	must(t, err)
+	if _, err := conn.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("read after the stream: %v", err)
+	}
+	// An idle connection stays open for longer.
+	if took := time.Since(stopped); took > 1500*time.Millisecond {
+		t.Errorf("the connection closes only %v after SIGTERM", took)
+	}
+	must(t, f.Gateways[0].Stop())
+}
--- a/router/internal/gateway/shutdown_read_test.go
+++ b/router/internal/gateway/shutdown_read_test.go
@@ -15,6 +15,8 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
+const testRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
 // pausingListener accepts connections whose nth read is held back until resume is closed, as if the process were not running
 // just before or just after the system call.
 type pausingListener struct {
@@ -121,25 +123,37 @@
 }
 
 func TestShutdownAnswersConnectionThatHasArrived(t *testing.T) {
-	l := &lateListener{TCPListener: listenTCP(t), resume: make(chan struct{})}
-	c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	go func() { _ = c.serve(l) }()
-	conn := dial(t, l.Addr().String())
-	writeRequests(t, conn, 1)
-	ended := make(chan error, 1)
-	go func() { ended <- c.shutdown(context.Background()) }()
-	time.Sleep(100 * time.Millisecond)
-	close(l.resume)
-	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
-	if _, _, err := readResponse(bufio.NewReader(conn)); err != nil {
-		t.Errorf("the request got no answer: %v", err)
-	}
-	if err := <-ended; err != nil {
-		t.Error(err)
+	tests := []struct {
+		name string
+		// requestDelay is the time from the accept of the connection to its request.
+		requestDelay time.Duration
+	}{
+		{"with its request", 0},
+		{"before its request", 100 * time.Millisecond},
 	}
-	if conn, err := net.Dial("tcp", l.Addr().String()); err == nil {
-		_ = conn.Close()
-		t.Error("the listener is still open")
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := &lateListener{TCPListener: listenTCP(t), resume: make(chan struct{})}
+			c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			go func() { _ = c.serve(l) }()
+			conn := dial(t, l.Addr().String())
+			ended := make(chan error, 1)
+			go func() { ended <- c.shutdown(context.Background()) }()
+			time.Sleep(100 * time.Millisecond)
+			time.AfterFunc(tt.requestDelay, func() { _, _ = io.WriteString(conn, testRequest) })
+			close(l.resume)
+			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+			if _, _, err := readResponse(bufio.NewReader(conn)); err != nil {
+				t.Errorf("the request got no answer: %v", err)
+			}
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+			if conn, err := net.Dial("tcp", l.Addr().String()); err == nil {
+				_ = conn.Close()
+				t.Error("the listener is still open")
+			}
+		})
 	}
 }
 
@@ -196,15 +210,14 @@
 	c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	go func() { _ = c.serve(l) }()
 	conn := dial(t, l.Addr().String())
-	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
-	_, _ = io.WriteString(conn, request[:8])
+	_, _ = io.WriteString(conn, testRequest[:8])
 	<-l.paused
 	ended := make(chan error, 1)
 	go func() { ended <- c.shutdown(context.Background()) }()
 	time.Sleep(700 * time.Millisecond)
 	close(l.resume)
 	time.Sleep(100 * time.Millisecond)
-	_, _ = io.WriteString(conn, request[8:])
+	_, _ = io.WriteString(conn, testRequest[8:])
 	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
 	if status, _, err := readResponse(bufio.NewReader(conn)); err != nil || status != http.StatusServiceUnavailable {
 		t.Errorf("status %d, error %v", status, err)
@@ -222,7 +235,7 @@
 	}))
 	conn := dial(t, address)
 	reader := bufio.NewReader(conn)
-	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HT")
+	_, _ = io.WriteString(conn, testRequest+testRequest[:8])
 	<-running
 	c.conns.CloseAfterResponse()
 	close(release)
@@ -270,7 +283,7 @@
 // writeRequests sends n requests at once.
 func writeRequests(t *testing.T, conn net.Conn, n int) {
 	t.Helper()
-	if _, err := io.WriteString(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", n)); err != nil {
+	if _, err := io.WriteString(conn, strings.Repeat(testRequest, n)); err != nil {
 		t.Fatal(err)
 	}
 }
