--- a/router/internal/gateway/keep_alive.go
+++ b/router/internal/gateway/keep_alive.go
@@ -8,16 +8,16 @@
 )
 
 const (
-	// drainDelay is how long a gateway that shuts down still serves new connections, until the platform's balancer has
+	// maxDrainDelay is how long a gateway that shuts down still serves new connections, until the platform's balancer has
 	// noticed that it is not ready and callers have stopped to reuse their idle connections.
-	drainDelay = 2300 * timekeeper.Millis(1)
+	maxDrainDelay = 2300 * timekeeper.Millis(1)
 	// closeMargin is how long after its last moment of reuse an idle connection stays open, for a request on its way.
 	closeMargin = 300 * timekeeper.Millis(1)
 )
 
 // drainDelay returns how long this gateway still serves new connections when it shuts down.
 func (s Settings) drainDelay() timekeeper.Millis {
-	return min(drainDelay, s.ShutdownGrace/2)
+	return min(maxDrainDelay, s.ShutdownGrace/2)
 }
 
 // keepAliveTimeout returns how long callers may reuse an idle connection, so that a shutdown closes none that they
--- a/router/internal/gateway/limited_server.go
+++ b/router/internal/gateway/limited_server.go
@@ -11,14 +11,14 @@
 
 // limitedServer serves the connections that were accepted while one set of limits was in force.
 type limitedServer struct {
-	server *http.Server
-	limits cataloguer.Limits
-	conns  *connListener
+	server   *http.Server
+	limits   cataloguer.Limits
+	listener *connListener
 }
 
 // startLimitedServer starts a server whose callers may reuse an idle connection for at most keepAlive.
 func startLimitedServer(handler http.Handler, limits cataloguer.Limits, keepAlive timekeeper.Millis, address net.Addr) *limitedServer {
-	s := &limitedServer{limits: limits, conns: newConnListener(address)}
+	s := &limitedServer{limits: limits, listener: newConnListener(address)}
 	s.server = &http.Server{
 		Handler:           announceKeepAlive(handler, keepAliveWithin(limits.IdleTimeout, keepAlive)),
 		ReadHeaderTimeout: limits.HeaderTimeout.Duration(),
@@ -27,7 +27,7 @@
 		ConnState:         reportConnState,
 	}
 	// Serve always returns an error, and does so only after Close.
-	go func() { _ = s.server.Serve(s.conns) }()
+	go func() { _ = s.server.Serve(s.listener) }()
 
 	return s
 }
