A refused request whose body never arrives does not hold up the shutdown

Found by the review: net/http reads the body of a refused request to its end, without a deadline, before it closes the connection; a caller that announced a body and kept the connection open held the process until its grace ended. The rest of the body gets a second now. TestShutdownEndsThoughARefusedBodyNeverArrives failed before (context deadline exceeded after 5 s).

--- a/router/internal/gateway/caller_server.go
+++ b/router/internal/gateway/caller_server.go
@@ -17,6 +17,9 @@
 const (
 	// acceptRetryDelay leaves time for file descriptors to be released after Accept has failed.
 	acceptRetryDelay = 5 * timekeeper.Millis(1)
+	// refusedBodyTimeout is how long the body of a refused request may take to arrive; it is read so that the caller gets the
+	// refusal before its connection closes.
+	refusedBodyTimeout = timekeeper.Second
 	// lateTimeout is how long after the wait for running requests the refusals on late connections may take. It is shorter
 	// than shutdownMargin.
 	lateTimeout = 200 * timekeeper.Millis(1)
@@ -97,6 +100,8 @@
 // ServeHTTP serves a request, or refuses it if the shutdown has begun.
 func (c *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if c.isShuttingDown.Load() {
+		// A caller that has closed its connection has no body to wait for either.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTimeout.Duration()))
 		c.shutdownHandler.ServeHTTP(w, r)
 
 		return
--- a/router/internal/gateway/shutdown_end_test.go
+++ b/router/internal/gateway/shutdown_end_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -31,6 +33,26 @@
 	}
 }
 
+func TestShutdownEndsThoughARefusedBodyNeverArrives(t *testing.T) {
+	l := listenTCP(t)
+	c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	go func() { _ = c.serve(l) }()
+	conn := dial(t, l.Addr().String())
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- c.shutdown(ctx) }()
+	time.Sleep(50 * time.Millisecond)
+	_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n")
+	if status, _, err := readResponse(bufio.NewReader(conn)); err != nil || status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, error %v", status, err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("a body that never arrives holds up the shutdown: %v", err)
+	}
+}
+
 func TestShutdownEndsWithItsContext(t *testing.T) {
 	l := &lateListener{TCPListener: listenTCP(t), resume: make(chan struct{})}
 	defer close(l.resume)
