The drain loop of a tracked server moves into drainer

The gateway's server for callers waits for its connections in a loop that the router's own interface needs too. Tracker.Drain is that loop; FirstRequestTimeout goes with it. No behaviour changes.

--- a/fleet/drainer/tracker.go
+++ b/fleet/drainer/tracker.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -8,6 +9,13 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
+// FirstRequestTimeout is how long a shutdown waits for the first request of a connection; it leaves time for one retransmission
+// of a lost packet.
+const FirstRequestTimeout = 500 * timekeeper.Millis(1)
+
+// drainPollInterval is how often Drain looks for connections that wait for a request.
+const drainPollInterval = 20 * timekeeper.Millis(1)
+
 // Tracker holds the open connections of a server. It is safe for concurrent use.
 type Tracker struct {
 	// OnClosed is called once with the final state of each connection that the server closes. It must be set before Track
@@ -68,6 +76,19 @@
 	}
 }
 
+// Drain expires the connections that wait for a request, as ExpireWaiting does, until no connection is open. It returns the
+// error of the context if that ends first.
+func (t *Tracker) Drain(ctx context.Context, w Waits) error {
+	for t.Len() > 0 {
+		t.ExpireWaiting(w)
+		if !timekeeper.Sleep(ctx, drainPollInterval) {
+			return ctx.Err()
+		}
+	}
+
+	return nil
+}
+
 func (t *Tracker) remove(c *Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/router/internal/gateway/caller_server.go
+++ b/router/internal/gateway/caller_server.go
@@ -14,15 +14,8 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
-const (
-	// acceptRetryDelay leaves time for file descriptors to be released after Accept has failed.
-	acceptRetryDelay = 5 * timekeeper.Millis(1)
-	// drainPollInterval is how often a shutdown looks for connections that wait for a request.
-	drainPollInterval = 20 * timekeeper.Millis(1)
-	// firstRequestTimeout is how long a shutdown waits for the first request of a connection; it leaves time for one
-	// retransmission of a lost packet.
-	firstRequestTimeout = 500 * timekeeper.Millis(1)
-)
+// acceptRetryDelay leaves time for file descriptors to be released after Accept has failed.
+const acceptRetryDelay = 5 * timekeeper.Millis(1)
 
 // initialLimits apply until the first configuration arrives.
 var initialLimits = cataloguer.Limits{
@@ -121,14 +114,7 @@
 
 // drain waits until no connection is open, or until the context ends.
 func (c *callerServer) drain(ctx context.Context) error {
-	for c.conns.Len() > 0 {
-		c.conns.ExpireWaiting(drainer.Waits{First: firstRequestTimeout, Next: c.keepAliveTimeout + closeMargin})
-		if !timekeeper.Sleep(ctx, drainPollInterval) {
-			return ctx.Err()
-		}
-	}
-
-	return nil
+	return c.conns.Drain(ctx, drainer.Waits{First: drainer.FirstRequestTimeout, Next: c.keepAliveTimeout + closeMargin})
 }
 
 // finishListener closes the listener once all connections that have arrived are accepted.
