The router's own interface answers a request that has been read when its shutdown begins

What callers saw: a later request of a connection that the router had read ended without an answer (unexpected EOF). A connection without any request made the shutdown wait for it up to read-timeout-ms (30 s).

It takes a connection for active before the first byte of its first request, so it waits for connections that send none.

Change: the interface accepts through drainer.Listener. Shutdown finishes the listener, drains the tracked connections, and shuts the framework down only then. A read that expires without a request ends in EOF, since fasthttp responds to a timeout with an error.

Why it works: only the goroutine that reads from a connection closes it, after it has found nothing to read. StateActive counts only after the first response; the read itself reports the first request.

Ruled out: keeping the listener open until the requests have ended, as the gateway does for the platform's balancer. New connections are refused from the start of a shutdown, as before, and TestShutdownAnnouncesCloseInAnswerOfRunningRequest relies on it.

The test's listener embeds *net.TCPListener, as in the gateway's tests, because drainer needs its deadline and file descriptor.

--- a/fleet/drainer/conn.go
+++ b/fleet/drainer/conn.go
@@ -46,7 +46,7 @@
 // arrived.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasExpired() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.HasExpired() {
 		n, err = c.readArrived(b)
 	}
 	c.recordRead(n, err)
--- a/fleet/drainer/expiry.go
+++ b/fleet/drainer/expiry.go
@@ -35,7 +35,8 @@
 	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
 
-func (c *Conn) hasExpired() bool {
+// HasExpired reports whether reads return only what has arrived already.
+func (c *Conn) HasExpired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
--- a/fleet/drainer/listener.go
+++ b/fleet/drainer/listener.go
@@ -35,6 +35,7 @@
 	tracker     *Tracker
 	isFinishing atomic.Bool
 	once        sync.Once
+	closeErr    error
 	done        chan struct{}
 }
 
@@ -49,9 +50,19 @@
 	return &Listener{socket: s, tracker: t, done: make(chan struct{})}, nil
 }
 
-// Accept waits for the next connection. Once the listener is being finished, it returns the connections that have arrived, then
-// closes the listener and returns net.ErrClosed.
+// Accept calls AcceptTracked.
 func (l *Listener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTracked()
+	if err != nil {
+		return nil, err
+	}
+
+	return conn, nil
+}
+
+// AcceptTracked waits for the next connection. Once the listener is being finished, it returns the connections that have arrived,
+// then closes the listener and returns net.ErrClosed.
+func (l *Listener) AcceptTracked() (*Conn, error) {
 	for {
 		conn, err := l.socket.Accept()
 		if err == nil {
@@ -81,11 +92,14 @@
 	return nil
 }
 
-// Close closes the listener.
+// Close closes the listener. It may be called more than once and returns the error of the first call.
 func (l *Listener) Close() error {
-	l.once.Do(func() { close(l.done) })
+	l.once.Do(func() {
+		l.closeErr = l.socket.Close()
+		close(l.done)
+	})
 
-	return l.socket.Close()
+	return l.closeErr
 }
 
 // hasArrived reports whether a connection can be accepted without waiting.
--- a/router/internal/server/server.go
+++ b/router/internal/server/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"cardamompulley/fleet/drainer"
 	"cardamompulley/fleet/follower"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
@@ -32,7 +33,11 @@
 	follower       *follower.Follower
 	submitter      *submitter.Submitter
 	tracer         *tracer.Tracer
+	conns          *drainer.Tracker
 	isShuttingDown atomic.Bool
+	// listener is set once listening is closed.
+	listener  *drainer.Listener
+	listening chan struct{}
 	// done is closed when Serve has returned.
 	done chan struct{}
 }
@@ -44,6 +49,8 @@
 		follower:  f,
 		submitter: submitter.NewSubmitter(s.Settings, f, t),
 		tracer:    t,
+		conns:     drainer.NewTracker(timekeeper.NewSystemClock()),
+		listening: make(chan struct{}),
 		done:      make(chan struct{}),
 	}
 	v.app = fiber.New(fiber.Config{
@@ -52,6 +59,7 @@
 		ReadBufferSize: maxHeaderBytes,
 		ErrorHandler:   v.handleError,
 	})
+	v.app.Server().ConnState = reportConnState
 	v.app.Use(v.requireReady, v.authenticate)
 	v.app.Post("/v1/chat/completions", v.handleChat)
 	v.app.All("/services/:service/*", v.handleService)
@@ -62,7 +70,15 @@
 // Serve serves callers on a listener until Shutdown is called.
 func (v *Server) Serve(l net.Listener) error {
 	defer close(v.done)
-	stallAware := stallListener{Listener: l, writeTimeout: v.settings.WriteStallTimeout}
+	tracked, err := drainer.NewListener(l, v.conns)
+	if err != nil {
+		return fmt.Errorf("server: %w", err)
+	}
+	// A shutdown that finishes the listener waits until it is closed.
+	defer func() { _ = tracked.Close() }()
+	v.listener = tracked
+	close(v.listening)
+	stallAware := stallListener{Listener: tracked, writeTimeout: v.settings.WriteStallTimeout}
 	if err := v.app.Listener(stallAware, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 		return fmt.Errorf("server: %w", err)
 	}
@@ -76,17 +92,36 @@
 }
 
 // Shutdown refuses new requests and waits until all running requests have finished. It returns an error if the context ends
-// first.
+// first. The framework is shut down last, because it closes connections from which a request has been read.
 func (v *Server) Shutdown(ctx context.Context) error {
 	v.isShuttingDown.Store(true)
-	if err := v.app.ShutdownWithContext(ctx); err != nil {
+	v.conns.CloseAfterResponse()
+	err := v.finishListener(ctx)
+	if err == nil {
+		err = v.conns.Drain(ctx, drainer.Waits{First: drainer.FirstRequestTimeout})
+	}
+	if err := errors.Join(err, v.app.ShutdownWithContext(ctx)); err != nil {
 		return fmt.Errorf("server: requests still run: %w", err)
 	}
-	<-v.done
 
 	return nil
 }
 
+// finishListener closes the listener once all connections that have arrived are accepted, and waits until Serve has returned.
+func (v *Server) finishListener(ctx context.Context) error {
+	select {
+	case <-v.listening:
+	case <-v.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	err := v.listener.Finish()
+	<-v.done
+
+	return err
+}
+
 // requireReady refuses requests while the router is not ready, and closes their connections.
 func (v *Server) requireReady(c fiber.Ctx) error {
 	if v.IsReady() {
--- a/router/internal/server/shutdown_read_test.go
+++ b/router/internal/server/shutdown_read_test.go
@@ -28,19 +28,19 @@
 // pausingListener accepts connections on which the nth read that returns bytes is held back until resume is closed, as if
 // the process were not running between the system call and the return from Read.
 type pausingListener struct {
-	net.Listener
+	*net.TCPListener
 	pausedRead int
 	paused     chan struct{}
 	resume     chan struct{}
 }
 
 func (l *pausingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
 
-	return &pausingConn{TCPConn: conn.(*net.TCPConn), listener: l}, nil
+	return &pausingConn{TCPConn: conn, listener: l}, nil
 }
 
 // pausingConn has the CloseWrite method of its TCP connection, which the server uses.
@@ -82,7 +82,7 @@
 		t.Fatal(err)
 	}
 	paused := &pausingListener{
-		Listener: l, pausedRead: earlierRequests + 1, paused: make(chan struct{}), resume: make(chan struct{}),
+		TCPListener: l.(*net.TCPListener), pausedRead: earlierRequests + 1, paused: make(chan struct{}), resume: make(chan struct{}),
 	}
 	v := newReadyServer(t)
 	go func() { _ = v.Serve(paused) }()
@@ -114,6 +114,34 @@
 	}
 }
 
+// Guards against a shutdown that waits for the read timeout of a connection without a request, or responds to it.
+func TestShutdownClosesConnectionWithoutRequest(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := newReadyServer(t)
+	go func() { _ = v.Serve(l) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	for v.app.Server().GetOpenConnectionsCount() != 1 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := v.Shutdown(ctx); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	if response, err := io.ReadAll(conn); err != nil || len(response) > 0 {
+		t.Errorf("the connection ends with %q and %v", response, err)
+	}
+}
+
 func TestShutdownAnnouncesCloseInAnswerOfRunningRequest(t *testing.T) {
 	t.Parallel()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/router/internal/server/stall_listener.go
+++ b/router/internal/server/stall_listener.go
@@ -1,24 +1,29 @@
 package server
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"cardamompulley/fleet/drainer"
 	"cardamompulley/fleet/timekeeper"
 )
 
 // stallListener closes the connections of callers that stop reading. It limits the time of each write, not of the whole
 // response, so that long streams are not cut.
 type stallListener struct {
-	net.Listener
+	*drainer.Listener
 	writeTimeout timekeeper.Millis
 }
 
 // Accept returns the next connection, with the write timeout applied to it.
 func (l stallListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.AcceptTracked()
 	if err != nil {
 		return nil, err
 	}
@@ -27,8 +32,40 @@
 }
 
 type stallConn struct {
-	net.Conn
+	*drainer.Conn
 	writeTimeout timekeeper.Millis
+	// hasResponded is true once a request has been answered. Only the goroutine that serves the connection uses it.
+	hasResponded bool
+}
+
+// reportConnState tells a tracked connection when a request begins and when it has been answered.
+func reportConnState(conn net.Conn, state fasthttp.ConnState) {
+	c, ok := conn.(*stallConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case fasthttp.StateActive:
+		// The framework reports the first request before it reads from the connection; the read reports that one.
+		if c.hasResponded {
+			c.SetActive()
+		}
+	case fasthttp.StateIdle:
+		c.hasResponded = true
+		c.SetWaiting()
+	default:
+	}
+}
+
+// Read reads from the connection. A connection that has expired without a request ends as if the caller had closed it, since the
+// framework responds to a timeout.
+func (c *stallConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.HasExpired() {
+		return n, io.EOF
+	}
+
+	return n, err
 }
 
 // Write writes b. It fails if the connection does not accept all of b within the write timeout.
@@ -47,10 +84,10 @@
 )
 
 // Close closes the write side, then reads and discards what the caller still sends before closing the connection. Closing
-// with unread bytes would make the kernel reset the connection, and the caller could lose the response.
+// with unread bytes would make the kernel reset the connection, and the caller could lose the response. A connection that has
+// expired without a request owes no response and is closed at once.
 func (c *stallConn) Close() error {
-	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || halfCloser.CloseWrite() != nil {
+	if c.HasExpired() || c.CloseWrite() != nil {
 		return c.Conn.Close()
 	}
 	go func() {
