The answer of a request that runs when the router shuts down announces that its connection closes

What callers saw: an answer without "Connection: close" on a connection that closed after it. A caller that sent its next request on the connection got no answer; stallConn.Close read that request and discarded it.

Cause: only refusals set the header. fasthttp sets it by itself only if told to and after its own shutdown has begun, which is last.

Change: a middleware sets the header after the handler, if the shutdown has begun by then.

Why it works: fasthttp writes the head, also that of a stream, only after the handlers have returned, and closes the connection after a response with this header. A stream whose head has been sent before cannot announce it; its connection expires with its end, and a request that has arrived by then is answered.

Ruled out: fasthttp's CloseOnShutdown, because it needs the framework's shutdown to have begun, which closes idle connections.

--- a/router/internal/server/server.go
+++ b/router/internal/server/server.go
@@ -60,7 +60,7 @@
 		ErrorHandler:   v.handleError,
 	})
 	v.app.Server().ConnState = reportConnState
-	v.app.Use(v.requireReady, v.authenticate)
+	v.app.Use(v.announceClose, v.requireReady, v.authenticate)
 	v.app.Post("/v1/chat/completions", v.handleChat)
 	v.app.All("/services/:service/*", v.handleService)
 
@@ -122,6 +122,16 @@
 	return err
 }
 
+// announceClose tells the caller that its connection closes after the response, if the shutdown begins before the response.
+func (v *Server) announceClose(c fiber.Ctx) error {
+	err := c.Next()
+	if v.isShuttingDown.Load() {
+		c.Set(fiber.HeaderConnection, "close")
+	}
+
+	return err
+}
+
 // requireReady refuses requests while the router is not ready, and closes their connections.
 func (v *Server) requireReady(c fiber.Ctx) error {
 	if v.IsReady() {
--- a/router/internal/server/shutdown_read_test.go
+++ b/router/internal/server/shutdown_read_test.go
@@ -143,6 +143,18 @@
 }
 
 func TestShutdownAnnouncesCloseInAnswerOfRunningRequest(t *testing.T) {
+	testShutdownAnnouncesClose(t, func(c fiber.Ctx) error { return c.SendString("ok") })
+}
+
+func TestShutdownAnnouncesCloseInStreamOfRunningRequest(t *testing.T) {
+	testShutdownAnnouncesClose(t, func(c fiber.Ctx) error {
+		return c.SendStreamWriter(func(w *bufio.Writer) { _, _ = w.WriteString("ok") })
+	})
+}
+
+// testShutdownAnnouncesClose begins the shutdown while a request runs whose response has not begun.
+func testShutdownAnnouncesClose(t *testing.T, respond fiber.Handler) {
+	t.Helper()
 	t.Parallel()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -154,7 +166,7 @@
 		close(running)
 		<-finish
 
-		return c.SendString("ok")
+		return respond(c)
 	})
 	go func() { _ = v.Serve(l) }()
 	conn, err := net.Dial("tcp", l.Addr().String())
