--- a/fleet/drainer/listener.go
+++ b/fleet/drainer/listener.go
@@ -57,9 +57,19 @@
 	return &Listener{socket: s, tracker: t, closeSocket: closeSocket, done: done}, nil
 }
 
-// Accept waits for the next connection. Once the listener is being finished, it returns the connections that have arrived, then
-// closes the listener and returns net.ErrClosed. Any other error while it is being finished closes the listener, too.
+// Accept is AcceptTracked for servers that take any listener.
 func (l *Listener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTracked()
+	if err != nil {
+		return nil, err
+	}
+
+	return conn, nil
+}
+
+// AcceptTracked waits for the next connection. Once the listener is being finished, it returns the connections that have arrived,
+// then closes the listener and returns net.ErrClosed. Any other error while it is being finished closes the listener, too.
+func (l *Listener) AcceptTracked() (*Conn, error) {
 	for {
 		conn, err := l.socket.Accept()
 		if err == nil {
@@ -107,7 +117,7 @@
 	return l.Close()
 }
 
-// Close closes the listener. It may be called more than once.
+// Close closes the listener. It may be called more than once and returns the error of the first call.
 func (l *Listener) Close() error {
 	return l.closeSocket()
 }
