One listener that holds back a read, for the shutdown tests of three servers

The same 35 lines stood in the tests of the gateway, the own interface and the RPC server. They are fleet/pauser now.

--- a/fleet/drainer/conn.go
+++ b/fleet/drainer/conn.go
@@ -96,7 +96,7 @@
 	return true
 }
 
-// SetReadDeadline sets the deadline of reads. It takes effect once the reads of the connection have not expired.
+// SetReadDeadline sets the deadline of reads. If they have expired, it takes effect with the next request.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/router/internal/gateway/shutdown_read_test.go
+++ b/router/internal/gateway/shutdown_read_test.go
@@ -12,65 +12,18 @@
 	"time"
 
 	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/pauser"
 	"cardamompulley/fleet/timekeeper"
 )
 
 const testRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
-// pausingListener accepts connections whose nth read is held back until resume is closed, as if the process were not running
-// just before or just after the system call.
-type pausingListener struct {
-	*net.TCPListener
-	pausedRead  int
-	pauseBefore bool
-	paused      chan struct{}
-	resume      chan struct{}
-}
-
-func (l *pausingListener) Accept() (net.Conn, error) {
-	conn, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
-	}
-
-	return &pausingConn{TCPConn: conn, listener: l}, nil
-}
-
-type pausingConn struct {
-	*net.TCPConn
-	listener *pausingListener
-	reads    int
-}
-
-func (c *pausingConn) Read(b []byte) (int, error) {
-	// Reads of one byte are net/http's check for a caller that disconnects.
-	if len(b) == 1 {
-		return c.TCPConn.Read(b)
-	}
-	c.reads++
-	isPaused := c.reads == c.listener.pausedRead
-	if isPaused && c.listener.pauseBefore {
-		c.listener.pause()
-	}
-	n, err := c.TCPConn.Read(b)
-	if isPaused && !c.listener.pauseBefore {
-		c.listener.pause()
-	}
-
-	return n, err
-}
-
-func (l *pausingListener) pause() {
-	close(l.paused)
-	<-l.resume
-}
-
 func TestShutdownAnswersRequestThatWasRead(t *testing.T) {
 	tests := []struct {
 		name string
 		// earlierRequests are answered on the connection before the request that arrives when the shutdown begins.
 		earlierRequests int
-		pauseBefore     bool
+		holdsBefore     bool
 	}{
 		{"first request of a connection, read", 0, false},
 		{"first request of a connection, arrived", 0, true},
@@ -81,24 +34,22 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			l := listenTCP(t)
-			paused := &pausingListener{
-				TCPListener: l, pausedRead: tt.earlierRequests + 1, pauseBefore: tt.pauseBefore,
-				paused: make(chan struct{}), resume: make(chan struct{}),
-			}
+			held := pauser.NewListener(l, tt.earlierRequests+1)
+			held.HoldsBefore = tt.holdsBefore
 			c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-			go func() { _ = c.serve(paused) }()
+			go func() { _ = c.serve(held) }()
 			conn := dial(t, l.Addr().String())
 			reader := bufio.NewReader(conn)
 			for range tt.earlierRequests {
 				roundTrip(t, conn, reader)
 			}
 			writeRequests(t, conn, 1)
-			<-paused.paused
+			<-held.Held
 			ended := make(chan error, 1)
 			go func() { ended <- c.shutdown(context.Background()) }()
 			// Longer than shutdown waits for the first request of a connection.
 			time.Sleep(700 * time.Millisecond)
-			close(paused.resume)
+			close(held.Resume)
 			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
 			if _, _, err := readResponse(reader); err != nil {
 				t.Fatalf("the request got no answer: %v", err)
@@ -204,18 +155,17 @@
 }
 
 func TestShutdownReadsTheRestOfARequest(t *testing.T) {
-	l := &pausingListener{
-		TCPListener: listenTCP(t), pausedRead: 1, pauseBefore: true, paused: make(chan struct{}), resume: make(chan struct{}),
-	}
+	l := pauser.NewListener(listenTCP(t), 1)
+	l.HoldsBefore = true
 	c := newTestCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	go func() { _ = c.serve(l) }()
 	conn := dial(t, l.Addr().String())
 	_, _ = io.WriteString(conn, testRequest[:8])
-	<-l.paused
+	<-l.Held
 	ended := make(chan error, 1)
 	go func() { ended <- c.shutdown(context.Background()) }()
 	time.Sleep(700 * time.Millisecond)
-	close(l.resume)
+	close(l.Resume)
 	time.Sleep(100 * time.Millisecond)
 	_, _ = io.WriteString(conn, testRequest[8:])
 	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
--- a/router/internal/server/shutdown_read_test.go
+++ b/router/internal/server/shutdown_read_test.go
@@ -18,6 +18,7 @@
 	"cardamompulley/fleet/follower"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/pauser"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/fleet/tracer"
 	"cardamompulley/router/internal/settings"
@@ -25,45 +26,6 @@
 
 const testToken = "token"
 
-// pausingListener accepts connections on which the nth read that returns bytes is held back until resume is closed, as if
-// the process were not running between the system call and the return from Read.
-type pausingListener struct {
-	*net.TCPListener
-	pausedRead int
-	paused     chan struct{}
-	resume     chan struct{}
-}
-
-func (l *pausingListener) Accept() (net.Conn, error) {
-	conn, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
-	}
-
-	return &pausingConn{TCPConn: conn, listener: l}, nil
-}
-
-// pausingConn has the CloseWrite method of its TCP connection, which the server uses.
-type pausingConn struct {
-	*net.TCPConn
-	listener *pausingListener
-	reads    int
-}
-
-func (c *pausingConn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
-	if n == 0 {
-		return n, err
-	}
-	c.reads++
-	if c.reads == c.listener.pausedRead {
-		close(c.listener.paused)
-		<-c.listener.resume
-	}
-
-	return n, err
-}
-
 func TestShutdownAnswersFirstRequestThatWasRead(t *testing.T) {
 	testShutdownAnswersRequestThatWasRead(t, 0)
 }
@@ -81,11 +43,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	paused := &pausingListener{
-		TCPListener: l.(*net.TCPListener), pausedRead: earlierRequests + 1, paused: make(chan struct{}), resume: make(chan struct{}),
-	}
+	held := pauser.NewListener(l.(*net.TCPListener), earlierRequests+1)
 	v := newReadyServer(t)
-	go func() { _ = v.Serve(paused) }()
+	go func() { _ = v.Serve(held) }()
 	conn, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -100,12 +60,12 @@
 		}
 	}
 	sendRequest(t, conn, "/services/a/")
-	<-paused.paused
+	<-held.Held
 	ended := make(chan error, 1)
 	go func() { ended <- v.Shutdown(context.Background()) }()
 	// Longer than the interval in which the server looks for idle connections.
 	time.Sleep(300 * time.Millisecond)
-	close(paused.resume)
+	close(held.Resume)
 	if status, _ := readResponse(t, reader); status != http.StatusServiceUnavailable {
 		t.Errorf("status %d", status)
 	}
