A connection whose response was sent before SIGTERM stays open for its Keep-Alive timeout

The response had been sent, and its caller had signalled, before the server's goroutine told the connection that it waits; CloseAfterResponse came between.

Change: a connection closes with its response only if its last write came after CloseAfterResponse. Others wait as connections that were idle at SIGTERM do. TestCloseAfterResponseSparesConnWhoseResponseWasSent failed before.

--- a/fleet/drainer/conn.go
+++ b/fleet/drainer/conn.go
@@ -38,6 +38,8 @@
 	waitingSince    timekeeper.Millis
 	// hasResponded is true once the response to the current request has begun; what is read after that is the rest of its body.
 	hasResponded bool
+	// wroteLate is true if the last write came after the tracker's CloseAfterResponse.
+	wroteLate bool
 	// isRefused is true once the server has written to the connection after its reads had expired.
 	isRefused bool
 	// isPeerGone is true once the peer has closed or reset the connection.
@@ -97,6 +99,7 @@
 		return false
 	}
 	c.hasResponded = c.hasResponded || isFinal
+	c.wroteLate = c.tracker.closesAfterResponse.Load()
 
 	return true
 }
@@ -149,7 +152,7 @@
 	c.unansweredBytes = 0
 	c.hasResponded = false
 	c.waitingSince = c.tracker.clock.Now()
-	if c.tracker.closesAfterResponse.Load() {
+	if c.wroteLate {
 		c.expire()
 	}
 }
--- a/fleet/drainer/conn_test.go
+++ b/fleet/drainer/conn_test.go
@@ -67,3 +67,28 @@
 func respond(c *drainer.Conn) {
 	_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
 }
+
+func TestCloseAfterResponseSparesConnWhoseResponseWasSent(t *testing.T) {
+	tests := []struct {
+		name        string
+		use         func(*drainer.Tracker, *drainer.Conn)
+		wantExpired bool
+	}{
+		{"sent before", func(tr *drainer.Tracker, c *drainer.Conn) { respond(c); tr.CloseAfterResponse() }, false},
+		{"sent after", func(tr *drainer.Tracker, c *drainer.Conn) { tr.CloseAfterResponse(); respond(c) }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tracker := drainer.NewTracker(timekeeper.NewSystemClock())
+			server, peer := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, peer) }()
+			conn := tracker.Track(server)
+			defer func() { _ = conn.Close() }()
+			tt.use(tracker, conn)
+			conn.SetWaiting()
+			if got := conn.HasExpired(); got != tt.wantExpired {
+				t.Errorf("expired %v, want %v", got, tt.wantExpired)
+			}
+		})
+	}
+}
--- a/fleet/drainer/tracker.go
+++ b/fleet/drainer/tracker.go
@@ -58,7 +58,7 @@
 }
 
 // CloseAfterResponse makes the server close each connection as soon as its current request has been answered. Connections
-// that wait for a request already are not affected.
+// whose last response has been sent already are not affected.
 func (t *Tracker) CloseAfterResponse() {
 	t.closesAfterResponse.Store(true)
 }
