Gateways log which crashes they count, learn of and delete

For the incident of a request that crashes endpoints: the record could not tell its three hypotheses apart, since no line was written when a crash was counted (310, 311), taken over from another gateway (312 suspect-learned) or deleted (313 suspect-cleared), and a failed attempt did not name its fingerprint. gateway_endpoint_crashes_total counts the crashes that a gateway has seen. No decision changes.

--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -41,7 +41,9 @@
 	EventOutlierDetected          = Event{304, "endpoint-doubted", levelWarn, "Outlier detected: the endpoint fails more requests than the others of its service; requests that may run only once avoid it."}
 	EventOutlierRecovered         = Event{305, "endpoint-trusted", levelInfo, "The endpoint is no longer an outlier."}
 	EventRequestSuspected         = Event{310, "request-suspected", levelWarn, "A request was in flight when its endpoint crashed."}
-	EventRequestQuarantined       = Event{311, "request-condemned", levelAlarm, "A request has crashed two endpoints and is quarantined."}
+	EventRequestQuarantined       = Event{311, "request-condemned", levelAlarm, "A request has crashed as many endpoints as are tolerated and is quarantined."}
+	EventSuspectLearned           = Event{312, "suspect-learned", levelInfo, "Another gateway has reported crashes of a request that this one did not know."}
+	EventSuspectCleared           = Event{313, "suspect-cleared", levelInfo, "A suspected request was served; the crashes counted against it were deleted."}
 	EventResponseMismatch         = Event{400, "crossed-answer", levelAlarm, "A response to another attempt arrived and was dropped."}
 	EventIncompleteResponse       = Event{401, "incomplete-answer", levelWarn, "A stream ended without its end marker."}
 	EventRetryBudgetExhausted     = Event{402, "retry-budget-empty", levelWarn, "A retry was not made because the retry budget is exhausted."}
@@ -64,7 +66,7 @@
 		EventStoreUnreachable, EventStoreReachable, EventRangeReplaced, EventGatewayUnreachable, EventGatewayReachable,
 		EventDomainOutOfService, EventDomainInService, EventEndpointAdded, EventEndpointRemoved, EventEndpointUnreadable,
 		EventEndpointDown, EventEndpointUp, EventEndpointCold, EventEndpointDraining, EventOutlierDetected, EventOutlierRecovered,
-		EventRequestSuspected, EventRequestQuarantined,
+		EventRequestSuspected, EventRequestQuarantined, EventSuspectLearned, EventSuspectCleared,
 		EventResponseMismatch, EventIncompleteResponse, EventRetryBudgetExhausted,
 		EventAttemptFailed, EventRequestServed, EventRequestRefused, EventStreamInterrupted, EventStreamResumed, EventCallerDisconnected,
 	}
--- a/fleet/quarantiner/crash_tracker.go
+++ b/fleet/quarantiner/crash_tracker.go
@@ -44,15 +44,19 @@
 }
 
 // RecordCrash records that an endpoint refuses connections, and counts a crash against each request lost there within
-// blameWindow. Each lost request counts for one crash only.
-func (t *CrashTracker) RecordCrash(id model.EndpointID, now timekeeper.Millis) {
+// blameWindow. Each lost request counts for one crash only. It returns the new crash records.
+func (t *CrashTracker) RecordCrash(id model.EndpointID, now timekeeper.Millis) []CrashRecord {
+	var records []CrashRecord
 	for _, l := range t.lost[id] {
 		if now-l.lostAt <= blameWindow {
 			c := CrashRecord{Fingerprint: l.fingerprint, Crashes: t.Registry.Crashes(l.fingerprint, now) + 1, ExpiresIn: recordLifetime}
 			t.Registry.Merge(c, now)
+			records = append(records, c)
 		}
 	}
 	delete(t.lost, id)
+
+	return records
 }
 
 // IsQuarantined reports whether a request has crashed so many endpoints that the gateway refuses it, and for how long.
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	streamsResumed      = metrics.NewCounter("gateway_streams_resumed_total")
 	streamsInterrupted  = metrics.NewCounter("gateway_streams_cut_total")
 	callersDisconnected = metrics.NewCounter("gateway_callers_gone_total")
+	endpointCrashes     = metrics.NewCounter("gateway_endpoint_crashes_total")
 	firstByteSeconds    = metrics.NewHistogram("gateway_first_byte_seconds")
 	requestSeconds      = metrics.NewHistogram("gateway_request_seconds")
 )
@@ -187,8 +188,19 @@
 // recordCrash records that an endpoint refuses connections, which shows that it has crashed.
 func (f *Forwarder) recordCrash(id model.EndpointID) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.crashTracker.RecordCrash(id, f.clock.Now())
+	records := f.crashTracker.RecordCrash(id, f.clock.Now())
+	f.mu.Unlock()
+	if len(records) > 0 {
+		endpointCrashes.Inc()
+	}
+	for _, r := range records {
+		event := logger.EventRequestSuspected
+		if r.Crashes >= quarantiner.GatewayQuarantineThreshold {
+			event = logger.EventRequestQuarantined
+		}
+		f.log.Write(event, logger.String("endpoint", id),
+			logger.Hex("fingerprint", uint64(r.Fingerprint)), logger.Int("crashes", r.Crashes))
+	}
 }
 
 // isQuarantined reports whether a request has crashed too many endpoints, and for how long it is still refused.
@@ -202,6 +214,10 @@
 // removeCrashRecords removes the crashes recorded for a request once an endpoint has served it.
 func (f *Forwarder) removeCrashRecords(fingerprint model.Fingerprint) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	crashes := f.crashTracker.Registry.Crashes(fingerprint, f.clock.Now())
 	f.crashTracker.Registry.Remove(fingerprint)
+	f.mu.Unlock()
+	if crashes > 0 {
+		f.log.Write(logger.EventSuspectCleared, logger.Hex("fingerprint", uint64(fingerprint)), logger.Int("crashes", crashes))
+	}
 }
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -56,6 +56,7 @@
 
 func (p *proxiedRequest) logFailedAttempt(failure *dispatcher.Failure) {
 	p.forwarder.log.Write(logger.EventAttemptFailed, append(p.logFields(),
+		logger.Hex("fingerprint", uint64(p.fingerprint)),
 		logger.Err(failure.Err), logger.Bool("may-have-run", failure.MayHaveRun))...)
 }
 
--- a/router/internal/gateway/exchange.go
+++ b/router/internal/gateway/exchange.go
@@ -169,11 +169,15 @@
 	})
 	p.gateway.forwarder.UpdateQuarantine(func(r *quarantiner.Registry) {
 		for _, m := range news.Marks {
-			r.Merge(quarantiner.CrashRecord{
+			record := quarantiner.CrashRecord{
 				Fingerprint: model.Fingerprint(m.Fingerprint),
 				Crashes:     int(m.Crashes),
 				ExpiresIn:   timekeeper.Millis(m.ExpiresInMs),
-			}, p.gateway.clock.Now())
+			}
+			if r.Merge(record, p.gateway.clock.Now()) {
+				p.gateway.log.Write(logger.EventSuspectLearned, logger.String("gateway", news.Address),
+					logger.Hex("fingerprint", m.Fingerprint), logger.Int("crashes", m.Crashes))
+			}
 		}
 	})
 }
