--- a/fleet/quarantiner/crash_tracker_test.go
+++ b/fleet/quarantiner/crash_tracker_test.go
@@ -42,3 +42,26 @@
 		t.Fatalf("%d crashes counted against a request lost before the blame window, want 0", n)
 	}
 }
+
+func TestCrashesSeenByDifferentGatewaysAddUp(t *testing.T) {
+	const culprit = model.Fingerprint(1)
+	trackers := make([]*CrashTracker, GatewayQuarantineThreshold)
+	for n := range trackers {
+		trackers[n] = NewCrashTracker(NewRegistry())
+		id := model.EndpointID(rune('a' + n))
+		trackers[n].RecordLost(id, culprit, 0)
+		trackers[n].RecordCrash(id, 100)
+	}
+	for _, from := range trackers {
+		for _, r := range from.Registry.RecordsToShare(200) {
+			for _, to := range trackers {
+				to.Registry.Merge(r, 200)
+			}
+		}
+	}
+	for n, tracker := range trackers {
+		if isQuarantined, _ := tracker.IsQuarantined(culprit, 300); !isQuarantined {
+			t.Errorf("gateway %d counts %d crashes of %d", n, tracker.Registry.Crashes(culprit, 300), len(trackers))
+		}
+	}
+}
