A crash is counted however a request ended, and without another request that meets it

Cause: a gateway counted a crash only if, within two seconds of a loss, another of its requests chose that endpoint and was refused. The circuit breaker that the loss had opened keeps requests away from there, and its own refused probe counted for nothing.

Evidence: TestGatewaysStopSendingRequestThatCrashesEndpoints, one gateway: 47 crashes, 47 refused probes, none counted. Ruled out as the cause: counts deleted by a success (no suspect-cleared in any run).

Change: what makes a request a suspect is decided in one place, at the end of each attempt: it reached an endpoint, and no whole response and no statement that it was not run came back. That includes large bodies and callers that have left, which left no trace before. A loss starts one check of the endpoint (a connection, which goes to the pool if the endpoint is alive); a refused check, a refused probe of the breaker and a 421 from another process at the address all count. A timeout does not, since the endpoint may be cut off; neither does a connection that broke while the endpoint lives. A request that is recorded after its endpoint's crash is blamed, too, and two copies of a request count one crash once.

TestCrashIsCountedWithoutAnotherRequest (six endings) and TestCrashIsCountedAgainstRequestWhoseCallerDisconnected failed before; TestBrokenConnectionIsNoCrash holds the other side.

--- a/router/internal/connector/pool.go
+++ b/router/internal/connector/pool.go
@@ -101,6 +101,34 @@
 	return nil
 }
 
+const (
+	// aliveCheckDelay is how long a new connection must stay open to show that an endpoint is alive: a process that is about to
+	// end may still accept.
+	aliveCheckDelay = 200 * timekeeper.Millis(1)
+	// maxAliveChecks limits the connections of one check. A live endpoint, too, closes connections beyond its limit.
+	maxAliveChecks = 2
+)
+
+// CheckAlive opens a connection to an endpoint, waits whether the endpoint keeps it open, and puts it into the pool. It returns
+// an error only if no connection can be opened; errors match ErrDial.
+func (p *Pool) CheckAlive(ctx context.Context, id model.EndpointID, address string) error {
+	for range maxAliveChecks {
+		c, err := p.dial(ctx, id, address)
+		if err != nil {
+			return err
+		}
+		timekeeper.Sleep(ctx, aliveCheckDelay)
+		if c.isUsable() {
+			p.Put(c)
+
+			return nil
+		}
+		c.Close()
+	}
+
+	return nil
+}
+
 func (p *Pool) dial(ctx context.Context, id model.EndpointID, address string) (*Conn, error) {
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -8,7 +8,6 @@
 	"mime"
 	"net/http"
 	"strconv"
-	"syscall"
 
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/retrier"
@@ -45,13 +44,12 @@
 		if p.ctx.Err() == nil {
 			p.forwarder.recordBreakerResult(endpoint.ID, false)
 		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			p.forwarder.recordCrash(endpoint.ID)
-		}
+		p.forwarder.RecordDialError(endpoint.ID, err)
 
 		return p.newFailure(err, retrier.AttemptFailure{})
 	}
 	p.endpointsReached++
+	p.hasReached = true
 	response, err := conn.Send(p.endpointRequest())
 	if err != nil {
 		return p.failAfterSend(conn, err)
@@ -62,6 +60,10 @@
 	if metadata.AttemptID != "" && metadata.AttemptID != p.metadata.AttemptID {
 		return p.failAfterSend(conn, errResponseMismatch)
 	}
+	if metadata.IsMisdirected {
+		// Another process has taken the endpoint's address, so the endpoint has ended.
+		p.forwarder.recordCrash(endpoint.ID)
+	}
 	if metadata.NotRun {
 		return p.failNotRun(conn, response)
 	}
@@ -84,9 +86,6 @@
 // failAfterSend closes the connection and returns the failure of an attempt whose request may have run.
 func (p *proxiedRequest) failAfterSend(conn *connector.Conn, err error) *dispatcher.Failure {
 	conn.Close()
-	if p.ctx.Err() == nil {
-		p.forwarder.recordLostRequest(p.choice.Endpoint.ID, p.fingerprint)
-	}
 	if p.ctx.Err() == nil && !conn.IsReused {
 		p.forwarder.recordBreakerResult(p.choice.Endpoint.ID, false)
 	}
@@ -115,6 +114,7 @@
 
 // failNotRun returns the failure of an attempt whose endpoint states that it did not run the request.
 func (p *proxiedRequest) failNotRun(conn *connector.Conn, response *http.Response) *dispatcher.Failure {
+	p.isAnswered = true
 	if _, isComplete, err := readPrefix(response); isComplete && err == nil {
 		p.releaseConn(conn, response)
 	} else {
@@ -140,6 +140,7 @@
 	if !isComplete {
 		return p.relayLarge(conn, response, prefix)
 	}
+	p.isAnswered = true
 	p.releaseConn(conn, response)
 	p.forwarder.recordBreakerResult(p.choice.Endpoint.ID, true)
 	buffered := &bufferedResponse{status: response.StatusCode, header: endToEndHeaders(response.Header), body: prefix}
@@ -201,6 +202,7 @@
 		conn.Close()
 		p.abortResponse(err)
 	}
+	p.isAnswered = true
 	p.releaseConn(conn, response)
 	p.forwarder.recordBreakerResult(p.choice.Endpoint.ID, true)
 	p.recordResult(false)
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -50,6 +50,8 @@
 	balancer     *balancer.Balancer
 	retryBudget  *budgeter.RetryBudget
 	crashTracker *quarantiner.CrashTracker
+	// crashChecks holds the endpoints that are being checked for a crash.
+	crashChecks map[model.EndpointID]bool
 }
 
 // NewForwarder returns a forwarder that sends requests over the connections of a pool. Its exported fields
@@ -67,6 +69,7 @@
 		balancer:       b,
 		retryBudget:    r,
 		crashTracker:   quarantiner.NewCrashTracker(quarantiner.NewRegistry()),
+		crashChecks:    map[model.EndpointID]bool{},
 	}
 }
 
@@ -77,6 +80,13 @@
 	update(f.crashTracker.Registry)
 }
 
+// ExpireLosses forgets lost requests that no crash can be counted against any more.
+func (f *Forwarder) ExpireLosses() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashTracker.Expire(f.clock.Now())
+}
+
 // UpdateBalancer calls update with the balancer and the retry budget, while it holds the forwarder's lock.
 func (f *Forwarder) UpdateBalancer(update func(*balancer.Balancer, *budgeter.RetryBudget)) {
 	f.mu.Lock()
@@ -177,47 +187,3 @@
 
 	return f.retryBudget.TrySpend(id, len(f.balancer.Membership.SettledMembers(now)), now)
 }
-
-// recordLostRequest records a request whose connection broke; if the endpoint has crashed, the request is a suspect.
-func (f *Forwarder) recordLostRequest(id model.EndpointID, fingerprint model.Fingerprint) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.crashTracker.RecordLost(id, fingerprint, f.clock.Now())
-}
-
-// recordCrash records that an endpoint refuses connections, which shows that it has crashed.
-func (f *Forwarder) recordCrash(id model.EndpointID) {
-	f.mu.Lock()
-	records := f.crashTracker.RecordCrash(id, f.clock.Now())
-	f.mu.Unlock()
-	if len(records) > 0 {
-		endpointCrashes.Inc()
-	}
-	for _, r := range records {
-		event := logger.EventRequestSuspected
-		if r.Crashes >= quarantiner.GatewayQuarantineThreshold {
-			event = logger.EventRequestQuarantined
-		}
-		f.log.Write(event, logger.String("endpoint", id),
-			logger.Hex("fingerprint", uint64(r.Fingerprint)), logger.Int("crashes", r.Crashes))
-	}
-}
-
-// isQuarantined reports whether a request has crashed too many endpoints, and for how long it is still refused.
-func (f *Forwarder) isQuarantined(fingerprint model.Fingerprint) (bool, timekeeper.Millis) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	return f.crashTracker.IsQuarantined(fingerprint, f.clock.Now())
-}
-
-// removeCrashRecords removes the crashes recorded for a request once an endpoint has served it.
-func (f *Forwarder) removeCrashRecords(fingerprint model.Fingerprint) {
-	f.mu.Lock()
-	crashes := f.crashTracker.Registry.Crashes(fingerprint, f.clock.Now())
-	f.crashTracker.Registry.Remove(fingerprint)
-	f.mu.Unlock()
-	if crashes > 0 {
-		f.log.Write(logger.EventSuspectCleared, logger.Hex("fingerprint", uint64(fingerprint)), logger.Int("crashes", crashes))
-	}
-}
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -50,8 +50,12 @@
 	// endpointsReached is the number of attempts that connected to an endpoint; the log field is called attempts.
 	endpointsReached int
 	triedEndpoints   []model.EndpointID
-	choice           balancer.Choice
-	stream           streamState
+	// hasReached is true once the current attempt has connected to its endpoint. isAnswered is true once the endpoint has sent
+	// a whole response, or has stated that it did not run the request.
+	hasReached bool
+	isAnswered bool
+	choice     balancer.Choice
+	stream     streamState
 	// errorEndpoints are the endpoints that have responded with an error status.
 	errorEndpoints []model.EndpointID
 	// errorResponse is the error response of the last attempt, nil if it had none. It is relayed if no attempt follows.
@@ -177,6 +181,8 @@
 func (p *proxiedRequest) sendAttempt() *dispatcher.Failure {
 	defer p.forwarder.recordFinish(p.choice.Endpoint.ID)
 	p.errorResponse = nil
+	p.hasReached, p.isAnswered = false, false
+	defer p.recordUnanswered()
 	p.coordinatePrefill()
 	defer func() { p.finishPrefill() }()
 
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -126,6 +126,7 @@
 	if len(p.stream.pending) > 0 {
 		return p.failStream(conn, errResponseTruncated)
 	}
+	p.isAnswered = true
 	p.releaseConn(conn, response)
 	p.forwarder.recordBreakerResult(p.choice.Endpoint.ID, true)
 	p.recordResult(false)
@@ -142,7 +143,6 @@
 	conn.Close()
 	if p.ctx.Err() == nil {
 		p.forwarder.recordBreakerResult(p.choice.Endpoint.ID, false)
-		p.forwarder.recordLostRequest(p.choice.Endpoint.ID, p.fingerprint)
 	}
 	p.recordIncompleteResponse()
 
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -111,6 +111,7 @@
 		}
 		isListed := func(id model.EndpointID) bool { return v.Endpoint(id) != nil }
 		g.peers.removeStale()
+		g.forwarder.ExpireLosses()
 		g.pool.Prune(isListed)
 		var due []*cataloguer.Endpoint
 		var outliers, recovered []model.EndpointID
@@ -139,6 +140,7 @@
 // probe dials an endpoint whose circuit breaker is open and reports the result to the balancer.
 func (g *Gateway) probe(ctx context.Context, e *cataloguer.Endpoint) {
 	err := g.pool.Probe(ctx, e.ID, e.Address)
+	g.forwarder.RecordDialError(e.ID, err)
 	g.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) {
 		if err == nil {
 			b.RecordSuccess(e.ID)
