Crashes that different gateways have seen add up, and a crash counts once

What callers saw: as before; with more gateways more endpoints crash before the last gateway refuses.

Cause: gateways shared counts and kept the larger of two. Crashes at several gateways at about the same time counted as one, and a count cannot tell whether two gateways speak of the same crash.

Evidence: TestCrashesSeenByDifferentGatewaysAddUp, three gateways that saw one crash each counted one.

Change: gateways share the set of crashes that count against a suspect (SuspectTable). A crash is the end of one process of an endpoint: the hash of its id and start time (born), which every gateway knows alike. Sets are joined, so the order and number of messages do not matter, and one crash that many gateways see stays one. A table is bounded (4,096 suspects, 8 crashes each, 320 bytes a message); news go first, suspects with more than one crash before others; two a message that are no news reach gateways that start later. Each relay costs a second of the lifetime, so that passing it back and forth never extends it.

--- a/fleet/cataloguer/endpoint.go
+++ b/fleet/cataloguer/endpoint.go
@@ -13,6 +13,9 @@
 	Domain     model.DomainID
 	Slots      int
 	IsDraining bool
+	// StartedAt is the start of the endpoint's process on its own clock, zero if it is not known. It tells processes apart that
+	// use one ID after another.
+	StartedAt timekeeper.Millis
 	// ColdRemaining is how long the endpoint stays cold, counted from the time at which the entry was written.
 	ColdRemaining timekeeper.Millis
 	// Revision is the store's revision of the entry.
--- a/fleet/quarantiner/crash_tracker.go
+++ b/fleet/quarantiner/crash_tracker.go
@@ -1,7 +1,8 @@
 package quarantiner
 
 import (
-	"cardamompulley/fleet/model"
+	"slices"
+
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -16,110 +17,100 @@
 )
 
 type lostRequest struct {
-	fingerprint model.Fingerprint
-	lostAt      timekeeper.Millis
+	suspects []SuspectID
+	lostAt   timekeeper.Millis
 }
 
-// endpointLosses holds the requests that were lost at one endpoint and its latest crash.
+// endpointLosses holds the requests that were lost at one process of an endpoint.
 type endpointLosses struct {
 	lost []lostRequest
-	// crashedAt is the time of the latest crash, blamed the requests it was counted against. They are zero and nil if there
-	// was none within blameWindow.
-	crashedAt timekeeper.Millis
-	blamed    map[model.Fingerprint]bool
+	// crashedAt is the time at which the process was found to have crashed. It is valid if hasCrashed is true.
+	crashedAt  timekeeper.Millis
+	hasCrashed bool
 }
 
-// CrashTracker finds out which requests may have crashed endpoints, from the requests that a gateway lost there. It is not
-// safe for concurrent use.
+// CrashTracker finds out what may have crashed endpoints, from the requests that a gateway lost there. It is not safe for
+// concurrent use.
 type CrashTracker struct {
-	// Registry holds the crash records of the process.
-	Registry *Registry
+	// Suspects holds the crashes that this gateway and others have counted.
+	Suspects *SuspectTable
 
-	endpoints map[model.EndpointID]*endpointLosses
+	endpoints map[CrashID]*endpointLosses
 }
 
-// NewCrashTracker returns a tracker that writes to the crash records of a process.
-func NewCrashTracker(r *Registry) *CrashTracker {
-	return &CrashTracker{Registry: r, endpoints: map[model.EndpointID]*endpointLosses{}}
+// NewCrashTracker returns a tracker without losses.
+func NewCrashTracker() *CrashTracker {
+	return &CrashTracker{Suspects: NewSuspectTable(), endpoints: map[CrashID]*endpointLosses{}}
 }
 
-// RecordLost records a request that has reached an endpoint and ended without a whole response. If the endpoint has just
-// crashed, the crash is counted against the request; RecordLost returns the new crash record, or nil.
-func (t *CrashTracker) RecordLost(id model.EndpointID, f model.Fingerprint, now timekeeper.Millis) []CrashRecord {
-	e := t.losses(id, now)
-	if e.blamed != nil {
-		return t.blame(e, f, now)
+// RecordLost records a request that has reached an endpoint and ended without a whole response; c identifies the crash that the
+// endpoint's process would end with. If the process has just crashed, that counts against the request's suspects. RecordLost
+// returns the suspects that the crash was counted against.
+func (t *CrashTracker) RecordLost(c CrashID, suspects []SuspectID, now timekeeper.Millis) []SuspectID {
+	e := t.losses(c, now)
+	if e.hasCrashed {
+		return t.blame(c, suspects, now)
 	}
 	if len(e.lost) >= maxLostRequests {
 		e.lost = e.lost[1:]
 	}
-	e.lost = append(e.lost, lostRequest{fingerprint: f, lostAt: now})
+	e.lost = append(e.lost, lostRequest{suspects: suspects, lostAt: now})
 
 	return nil
 }
 
-// RecordCrash records that an endpoint refuses connections, and counts a crash against each request lost there within
-// blameWindow. It returns the new crash records.
-func (t *CrashTracker) RecordCrash(id model.EndpointID, now timekeeper.Millis) []CrashRecord {
-	e := t.losses(id, now)
+// RecordCrash records that the process of an endpoint has ended, and counts that against the requests lost there within
+// blameWindow. It returns the suspects that the crash was counted against.
+func (t *CrashTracker) RecordCrash(c CrashID, now timekeeper.Millis) []SuspectID {
+	e := t.losses(c, now)
 	if len(e.lost) == 0 {
 		return nil
 	}
 	e.crashedAt = now
-	e.blamed = map[model.Fingerprint]bool{}
-	var records []CrashRecord
+	e.hasCrashed = true
+	var blamed []SuspectID
 	for _, l := range e.lost {
-		records = append(records, t.blame(e, l.fingerprint, now)...)
+		blamed = append(blamed, t.blame(c, l.suspects, now)...)
 	}
 	e.lost = nil
 
-	return records
+	return blamed
 }
 
-// blame counts the latest crash of an endpoint against a request, once.
-func (t *CrashTracker) blame(e *endpointLosses, f model.Fingerprint, now timekeeper.Millis) []CrashRecord {
-	if e.blamed[f] {
-		return nil
-	}
-	e.blamed[f] = true
-	c := CrashRecord{Fingerprint: f, Crashes: t.Registry.Crashes(f, now) + 1, ExpiresIn: recordLifetime}
-	t.Registry.Merge(c, now)
-
-	return []CrashRecord{c}
+// blame counts a crash against suspects and returns those that it was not counted against before.
+func (t *CrashTracker) blame(c CrashID, suspects []SuspectID, now timekeeper.Millis) []SuspectID {
+	return slices.DeleteFunc(slices.Clone(suspects), func(s SuspectID) bool { return !t.Suspects.Add(s, c, now) })
 }
 
-// losses returns the losses of an endpoint within blameWindow.
-func (t *CrashTracker) losses(id model.EndpointID, now timekeeper.Millis) *endpointLosses {
-	e, ok := t.endpoints[id]
+// losses returns what was lost within blameWindow at the process that ends with a crash.
+func (t *CrashTracker) losses(c CrashID, now timekeeper.Millis) *endpointLosses {
+	e, ok := t.endpoints[c]
 	if !ok {
 		e = &endpointLosses{}
-		t.endpoints[id] = e
+		t.endpoints[c] = e
 	}
 	for len(e.lost) > 0 && now-e.lost[0].lostAt > blameWindow {
 		e.lost = e.lost[1:]
 	}
-	if now-e.crashedAt > blameWindow {
-		e.blamed = nil
-	}
+	e.hasCrashed = e.hasCrashed && now-e.crashedAt <= blameWindow
 
 	return e
 }
 
 // Expire forgets the endpoints at which nothing was lost within blameWindow.
 func (t *CrashTracker) Expire(now timekeeper.Millis) {
-	for id := range t.endpoints {
-		if e := t.losses(id, now); len(e.lost) == 0 && e.blamed == nil {
-			delete(t.endpoints, id)
+	for c := range t.endpoints {
+		if e := t.losses(c, now); len(e.lost) == 0 && !e.hasCrashed {
+			delete(t.endpoints, c)
 		}
 	}
 }
 
 // IsQuarantined reports whether a request has crashed so many endpoints that the gateway refuses it, and for how long.
-func (t *CrashTracker) IsQuarantined(f model.Fingerprint, now timekeeper.Millis) (bool, timekeeper.Millis) {
-	if t.Registry.Crashes(f, now) < GatewayQuarantineThreshold {
+func (t *CrashTracker) IsQuarantined(s SuspectID, now timekeeper.Millis) (bool, timekeeper.Millis) {
+	if t.Suspects.Crashes(s, now) < GatewayQuarantineThreshold {
 		return false, 0
 	}
-	_, remaining := t.Registry.IsQuarantined(f, now)
 
-	return true, remaining
+	return true, t.Suspects.ExpiresIn(s, now)
 }
--- a/fleet/quarantiner/crash_tracker_test.go
+++ b/fleet/quarantiner/crash_tracker_test.go
@@ -3,24 +3,23 @@
 import (
 	"testing"
 
-	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
 
 func TestGatewayRefusesRequestThatCrashedThreeEndpoints(t *testing.T) {
-	const culprit, innocent = model.Fingerprint(1), model.Fingerprint(2)
-	c := NewCrashTracker(NewRegistry())
-	for n, id := range []model.EndpointID{"a", "b", "c"} {
-		now := timekeeper.Millis(n) * timekeeper.Second
+	const culprit, innocent = SuspectID(1), SuspectID(2)
+	c := NewCrashTracker()
+	for n := range 3 {
+		crash, now := CrashID(n), timekeeper.Millis(n)*timekeeper.Second
 		if isQuarantined, _ := c.IsQuarantined(culprit, now); isQuarantined {
 			t.Fatalf("refused after %d crashes, want 3", n)
 		}
-		c.RecordLost(id, culprit, now)
+		c.RecordLost(crash, []SuspectID{culprit}, now)
 		if n == 0 {
-			c.RecordLost(id, innocent, now)
+			c.RecordLost(crash, []SuspectID{innocent}, now)
 		}
-		c.RecordCrash(id, now+100)
-		c.RecordCrash(id, now+200)
+		c.RecordCrash(crash, now+100)
+		c.RecordCrash(crash, now+200)
 	}
 	if isQuarantined, remaining := c.IsQuarantined(culprit, 3000); !isQuarantined || remaining <= 0 {
 		t.Fatalf("refused = %v for %d ms, want a refusal after three crashes", isQuarantined, remaining)
@@ -28,40 +27,79 @@
 	if isQuarantined, _ := c.IsQuarantined(innocent, 3000); isQuarantined {
 		t.Fatal("refused a request that was in flight at one crash only")
 	}
-	c.Registry.Remove(culprit)
+	c.Suspects.Remove(culprit)
 	if isQuarantined, _ := c.IsQuarantined(culprit, 3000); isQuarantined {
-		t.Fatal("refused after its crash record was removed")
+		t.Fatal("refused after its crashes were deleted")
 	}
 }
 
 func TestLostRequestsAreNotBlamedForLaterCrashes(t *testing.T) {
-	c := NewCrashTracker(NewRegistry())
-	c.RecordLost("a", 1, 0)
-	c.RecordCrash("a", blameWindow+1)
-	if n := c.Registry.Crashes(1, blameWindow+1); n != 0 {
+	c := NewCrashTracker()
+	c.RecordLost(1, []SuspectID{1}, 0)
+	c.RecordCrash(1, blameWindow+1)
+	if n := c.Suspects.Crashes(1, blameWindow+1); n != 0 {
 		t.Fatalf("%d crashes counted against a request lost before the blame window, want 0", n)
 	}
 }
 
-func TestCrashesSeenByDifferentGatewaysAddUp(t *testing.T) {
-	const culprit = model.Fingerprint(1)
-	trackers := make([]*CrashTracker, GatewayQuarantineThreshold)
-	for n := range trackers {
-		trackers[n] = NewCrashTracker(NewRegistry())
-		id := model.EndpointID(rune('a' + n))
-		trackers[n].RecordLost(id, culprit, 0)
-		trackers[n].RecordCrash(id, 100)
+// A request that is recorded just after the crash is blamed, too, and each request once for each crash.
+func TestCrashCountsOnceAgainstEachLostRequest(t *testing.T) {
+	c := NewCrashTracker()
+	c.RecordLost(1, []SuspectID{1}, 0)
+	c.RecordLost(1, []SuspectID{1}, 0)
+	c.RecordCrash(1, 10)
+	c.RecordLost(1, []SuspectID{1}, 20)
+	c.RecordLost(1, []SuspectID{2}, 20)
+	c.RecordCrash(1, 30)
+	for _, s := range []SuspectID{1, 2} {
+		if n := c.Suspects.Crashes(s, 40); n != 1 {
+			t.Errorf("%d crashes counted against request %d, want 1", n, s)
+		}
 	}
+}
+
+// shareAll sends the suspects of all trackers to all others.
+func shareAll(trackers []*CrashTracker, now timekeeper.Millis) {
 	for _, from := range trackers {
-		for _, r := range from.Registry.RecordsToShare(200) {
-			for _, to := range trackers {
-				to.Registry.Merge(r, 200)
+		encoded := EncodeSuspicions(from.Suspects.Share(1<<20, now))
+		for _, to := range trackers {
+			for _, s := range DecodeSuspicions(encoded) {
+				to.Suspects.Merge(s, now)
 			}
 		}
 	}
+}
+
+func TestCrashesSeenByDifferentGatewaysAddUp(t *testing.T) {
+	const culprit = SuspectID(1)
+	trackers := make([]*CrashTracker, GatewayQuarantineThreshold)
+	for n := range trackers {
+		trackers[n] = NewCrashTracker()
+		trackers[n].RecordLost(CrashID(n), []SuspectID{culprit}, 0)
+		trackers[n].RecordCrash(CrashID(n), 100)
+	}
+	shareAll(trackers, 200)
 	for n, tracker := range trackers {
 		if isQuarantined, _ := tracker.IsQuarantined(culprit, 300); !isQuarantined {
-			t.Errorf("gateway %d counts %d crashes of %d", n, tracker.Registry.Crashes(culprit, 300), len(trackers))
+			t.Errorf("gateway %d counts %d crashes of %d", n, tracker.Suspects.Crashes(culprit, 300), len(trackers))
+		}
+	}
+}
+
+func TestCrashSeenByManyGatewaysCountsOnce(t *testing.T) {
+	const suspect = SuspectID(1)
+	trackers := make([]*CrashTracker, 2*GatewayQuarantineThreshold)
+	for n := range trackers {
+		trackers[n] = NewCrashTracker()
+		trackers[n].RecordLost(7, []SuspectID{suspect}, 0)
+		trackers[n].RecordCrash(7, 100)
+	}
+	for range 3 {
+		shareAll(trackers, 200)
+	}
+	for n, tracker := range trackers {
+		if crashes := tracker.Suspects.Crashes(suspect, 300); crashes != 1 {
+			t.Errorf("gateway %d counts %d crashes, want 1", n, crashes)
 		}
 	}
 }
--- /dev/null
+++ b/fleet/quarantiner/suspect_table.go
@@ -0,0 +1,209 @@
+package quarantiner
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+)
+
+const (
+	// maxSuspects limits the suspects that a gateway remembers. Those with the fewest crashes make room.
+	maxSuspects = 4096
+	// maxCrashesPerSuspect limits the crashes remembered for a suspect. It is above every threshold.
+	maxCrashesPerSuspect = 8
+	// freshDuration is how long a suspect counts as news for the other gateways after its record has changed.
+	freshDuration = 10 * timekeeper.Second
+	// maxRepeatedSuspects limits the suspects in a message that are no news. They reach gateways that have started since.
+	maxRepeatedSuspects = 2
+	// relayCost is subtracted from a lifetime each time that it is passed on, so that passing it back and forth never extends
+	// it. It is longer than any delivery takes.
+	relayCost = timekeeper.Second
+)
+
+// SuspectID is the hash of something that may crash endpoints.
+type SuspectID uint64
+
+// CrashID identifies a crash for all gateways, whichever of them see it.
+type CrashID uint32
+
+// NewCrashID returns the ID of the crash that ends an endpoint's process, which has started at startedAt.
+func NewCrashID(id model.EndpointID, startedAt timekeeper.Millis) CrashID {
+	digest := xxhash.New()
+	// Writing to a hash never returns an error.
+	_, _ = digest.WriteString(string(id))
+	_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, uint64(startedAt)))
+
+	return CrashID(digest.Sum64())
+}
+
+// Suspicion is what a gateway tells others of a suspect: the crashes counted against it, and how long they count.
+type Suspicion struct {
+	Suspect   SuspectID
+	Crashes   []CrashID
+	ExpiresIn timekeeper.Millis
+}
+
+type suspectRecord struct {
+	// crashes is sorted.
+	crashes   []CrashID
+	expiresAt timekeeper.Millis
+	changedAt timekeeper.Millis
+	// timesShared is how often the record has been shared since it changed.
+	timesShared int
+}
+
+// SuspectTable holds the crashes counted against suspects, by this gateway and by those that it hears from. A crash counts once
+// however many gateways report it, and the crashes that different gateways report add up. SuspectTable is not safe for
+// concurrent use.
+type SuspectTable struct {
+	records map[SuspectID]*suspectRecord
+}
+
+// NewSuspectTable returns an empty table.
+func NewSuspectTable() *SuspectTable {
+	return &SuspectTable{records: map[SuspectID]*suspectRecord{}}
+}
+
+// Crashes returns the number of crashes that count against a suspect.
+func (t *SuspectTable) Crashes(s SuspectID, now timekeeper.Millis) int {
+	if r := t.live(s, now); r != nil {
+		return len(r.crashes)
+	}
+
+	return 0
+}
+
+// ExpiresIn returns how long the crashes of a suspect still count.
+func (t *SuspectTable) ExpiresIn(s SuspectID, now timekeeper.Millis) timekeeper.Millis {
+	if r := t.live(s, now); r != nil {
+		return r.expiresAt - now
+	}
+
+	return 0
+}
+
+// Add counts a crash against a suspect and reports whether it was not counted yet.
+func (t *SuspectTable) Add(s SuspectID, c CrashID, now timekeeper.Millis) bool {
+	return t.merge(s, []CrashID{c}, recordLifetime, now)
+}
+
+// Merge takes in what another gateway tells and reports whether it counts crashes that were not known here.
+func (t *SuspectTable) Merge(s Suspicion, now timekeeper.Millis) bool {
+	return t.merge(s.Suspect, s.Crashes, min(s.ExpiresIn, recordLifetime)-relayCost, now)
+}
+
+// Remove deletes the crashes of a suspect.
+func (t *SuspectTable) Remove(s SuspectID) {
+	delete(t.records, s)
+}
+
+func (t *SuspectTable) live(s SuspectID, now timekeeper.Millis) *suspectRecord {
+	r, ok := t.records[s]
+	if !ok || r.expiresAt <= now {
+		return nil
+	}
+
+	return r
+}
+
+func (t *SuspectTable) merge(s SuspectID, crashes []CrashID, expiresIn, now timekeeper.Millis) bool {
+	if expiresIn <= 0 {
+		return false
+	}
+	r := t.live(s, now)
+	if r == nil {
+		r = &suspectRecord{}
+	}
+	known := len(r.crashes)
+	for _, c := range crashes {
+		if i, ok := slices.BinarySearch(r.crashes, c); !ok && len(r.crashes) < maxCrashesPerSuspect {
+			r.crashes = slices.Insert(r.crashes, i, c)
+		}
+	}
+	if len(r.crashes) == known {
+		return false
+	}
+	r.expiresAt = max(r.expiresAt, now+expiresIn)
+	r.changedAt = now
+	r.timesShared = 0
+	t.put(s, r, now)
+
+	return true
+}
+
+// put stores a record unless the table stays full after eviction and does not hold the suspect yet.
+func (t *SuspectTable) put(s SuspectID, r *suspectRecord, now timekeeper.Millis) {
+	if _, ok := t.records[s]; !ok && len(t.records) >= maxSuspects {
+		t.evict(now)
+		if len(t.records) >= maxSuspects {
+			return
+		}
+	}
+	t.records[s] = r
+}
+
+// evict deletes expired records and, if that is not enough, those with a single crash.
+func (t *SuspectTable) evict(now timekeeper.Millis) {
+	t.deleteWhere(func(r *suspectRecord) bool { return r.expiresAt <= now })
+	if len(t.records) >= maxSuspects {
+		t.deleteWhere(func(r *suspectRecord) bool { return len(r.crashes) <= 1 })
+	}
+}
+
+func (t *SuspectTable) deleteWhere(matches func(*suspectRecord) bool) {
+	for s, r := range t.records {
+		if matches(r) {
+			delete(t.records, s)
+		}
+	}
+}
+
+// Share returns suspects to tell another gateway, as many as fit into maxBytes: news first, those with more than one crash and
+// those shared least often before others, then some that are no news.
+func (t *SuspectTable) Share(maxBytes int, now timekeeper.Millis) []Suspicion {
+	var fresh, old []SuspectID
+	for s, r := range t.records {
+		switch {
+		case r.expiresAt <= now:
+			delete(t.records, s)
+		case now-r.changedAt < freshDuration:
+			fresh = append(fresh, s)
+		default:
+			old = append(old, s)
+		}
+	}
+	slices.SortFunc(fresh, t.compareNews)
+	rand.Shuffle(len(old), func(i, j int) { old[i], old[j] = old[j], old[i] })
+	var shared []Suspicion
+	for _, s := range append(fresh, old[:min(len(old), maxRepeatedSuspects)]...) {
+		r := t.records[s]
+		maxBytes -= suspicionHeaderBytes + crashIDBytes*len(r.crashes)
+		if maxBytes < 0 {
+			break
+		}
+		r.timesShared++
+		shared = append(shared, Suspicion{Suspect: s, Crashes: slices.Clone(r.crashes), ExpiresIn: r.expiresAt - now})
+	}
+
+	return shared
+}
+
+// compareNews orders suspects by the urgency of telling others.
+func (t *SuspectTable) compareNews(x, y SuspectID) int {
+	a, b := t.records[x], t.records[y]
+	if isRepeat, otherIsRepeat := len(a.crashes) > 1, len(b.crashes) > 1; isRepeat != otherIsRepeat {
+		if isRepeat {
+			return -1
+		}
+
+		return 1
+	}
+
+	return cmp.Or(cmp.Compare(a.timesShared, b.timesShared), cmp.Compare(b.changedAt, a.changedAt), cmp.Compare(x, y))
+}
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -44,7 +44,7 @@
 		if p.ctx.Err() == nil {
 			p.forwarder.recordBreakerResult(endpoint.ID, false)
 		}
-		p.forwarder.RecordDialError(endpoint.ID, err)
+		p.forwarder.RecordDialError(endpoint, err)
 
 		return p.newFailure(err, retrier.AttemptFailure{})
 	}
@@ -62,7 +62,7 @@
 	}
 	if metadata.IsMisdirected {
 		// Another process has taken the endpoint's address, so the endpoint has ended.
-		p.forwarder.recordCrash(endpoint.ID)
+		p.forwarder.recordCrash(endpoint)
 	}
 	if metadata.NotRun {
 		return p.failNotRun(conn, response)
--- a/router/internal/forwarder/crash.go
+++ b/router/internal/forwarder/crash.go
@@ -19,7 +19,7 @@
 	if !p.hasReached || p.isAnswered {
 		return
 	}
-	p.forwarder.recordLostRequest(p.choice.Endpoint.ID, p.fingerprint)
+	p.forwarder.recordLostRequest(p.choice.Endpoint, p.suspects)
 	if p.ctx.Err() == nil {
 		p.forwarder.checkForCrash(p.choice.Endpoint)
 	}
@@ -35,7 +35,7 @@
 	f.crashChecks[e.ID] = true
 	go func() {
 		err := f.pool.CheckAlive(context.Background(), e.ID, e.Address)
-		f.RecordDialError(e.ID, err)
+		f.RecordDialError(e, err)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		delete(f.crashChecks, e.ID)
@@ -44,57 +44,92 @@
 
 // RecordDialError records the crash that an error of connecting to an endpoint shows. A timeout shows none, because the
 // endpoint may be cut off.
-func (f *Forwarder) RecordDialError(id model.EndpointID, err error) {
+func (f *Forwarder) RecordDialError(e *cataloguer.Endpoint, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		f.recordCrash(id)
+		f.recordCrash(e)
 	}
 }
 
+// crashID identifies the crash that an endpoint's process ends with.
+func crashID(e *cataloguer.Endpoint) quarantiner.CrashID {
+	return quarantiner.NewCrashID(e.ID, e.StartedAt)
+}
+
 // recordLostRequest records a request that ended without a whole response; if the endpoint has crashed, it is a suspect.
-func (f *Forwarder) recordLostRequest(id model.EndpointID, fingerprint model.Fingerprint) {
+func (f *Forwarder) recordLostRequest(e *cataloguer.Endpoint, suspects []quarantiner.SuspectID) {
 	f.mu.Lock()
-	records := f.crashTracker.RecordLost(id, fingerprint, f.clock.Now())
-	f.mu.Unlock()
-	f.logCrashRecords(id, records)
+	defer f.mu.Unlock()
+	blamed := f.crashTracker.RecordLost(crashID(e), suspects, f.clock.Now())
+	f.logBlamed(e.ID, blamed)
 }
 
 // recordCrash counts the crash of an endpoint against the requests that were lost there.
-func (f *Forwarder) recordCrash(id model.EndpointID) {
+func (f *Forwarder) recordCrash(e *cataloguer.Endpoint) {
 	f.mu.Lock()
-	records := f.crashTracker.RecordCrash(id, f.clock.Now())
-	f.mu.Unlock()
-	if len(records) > 0 {
+	defer f.mu.Unlock()
+	blamed := f.crashTracker.RecordCrash(crashID(e), f.clock.Now())
+	if len(blamed) > 0 {
 		endpointCrashes.Inc()
 	}
-	f.logCrashRecords(id, records)
+	f.logBlamed(e.ID, blamed)
 }
 
-func (f *Forwarder) logCrashRecords(id model.EndpointID, records []quarantiner.CrashRecord) {
-	for _, r := range records {
+// logBlamed logs the suspects that a crash was counted against. f.mu must be held.
+func (f *Forwarder) logBlamed(id model.EndpointID, blamed []quarantiner.SuspectID) {
+	for _, s := range blamed {
+		crashes := f.crashTracker.Suspects.Crashes(s, f.clock.Now())
 		event := logger.EventRequestSuspected
-		if r.Crashes >= quarantiner.GatewayQuarantineThreshold {
+		if crashes >= quarantiner.GatewayQuarantineThreshold {
 			event = logger.EventRequestQuarantined
 		}
-		f.log.Write(event, logger.String("endpoint", id),
-			logger.Hex("fingerprint", uint64(r.Fingerprint)), logger.Int("crashes", r.Crashes))
+		f.log.Write(event, logger.String("endpoint", id), logger.Hex("suspect", uint64(s)), logger.Int("crashes", crashes))
 	}
 }
 
-// isQuarantined reports whether a request has crashed too many endpoints, and for how long it is still refused.
-func (f *Forwarder) isQuarantined(fingerprint model.Fingerprint) (bool, timekeeper.Millis) {
+// quarantinedFor returns how long a request is still refused because one of its suspects has crashed too many endpoints, zero
+// if none has.
+func (f *Forwarder) quarantinedFor(suspects []quarantiner.SuspectID) timekeeper.Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	longest := timekeeper.Millis(0)
+	for _, s := range suspects {
+		if isQuarantined, remaining := f.crashTracker.IsQuarantined(s, f.clock.Now()); isQuarantined {
+			longest = max(longest, remaining)
+		}
+	}
 
-	return f.crashTracker.IsQuarantined(fingerprint, f.clock.Now())
+	return longest
 }
 
-// removeCrashRecords removes the crashes recorded for a request once an endpoint has served it.
-func (f *Forwarder) removeCrashRecords(fingerprint model.Fingerprint) {
+// clearSuspects deletes the crashes counted against the suspects of a request that an endpoint has served.
+func (f *Forwarder) clearSuspects(suspects []quarantiner.SuspectID) {
 	f.mu.Lock()
-	crashes := f.crashTracker.Registry.Crashes(fingerprint, f.clock.Now())
-	f.crashTracker.Registry.Remove(fingerprint)
-	f.mu.Unlock()
-	if crashes > 0 {
-		f.log.Write(logger.EventSuspectCleared, logger.Hex("fingerprint", uint64(fingerprint)), logger.Int("crashes", crashes))
+	defer f.mu.Unlock()
+	for _, s := range suspects {
+		if crashes := f.crashTracker.Suspects.Crashes(s, f.clock.Now()); crashes > 0 {
+			f.crashTracker.Suspects.Remove(s)
+			f.log.Write(logger.EventSuspectCleared, logger.Hex("suspect", uint64(s)), logger.Int("crashes", crashes))
+		}
+	}
+}
+
+// SharedSuspects returns what to tell another gateway of suspects, in at most maxBytes.
+func (f *Forwarder) SharedSuspects(maxBytes int) []quarantiner.Suspicion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.crashTracker.Suspects.Share(maxBytes, f.clock.Now())
+}
+
+// MergeSuspects takes in what another gateway tells of suspects.
+func (f *Forwarder) MergeSuspects(gateway string, suspicions []quarantiner.Suspicion) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	for _, s := range suspicions {
+		if f.crashTracker.Suspects.Merge(s, now) {
+			f.log.Write(logger.EventSuspectLearned, logger.String("gateway", gateway),
+				logger.Hex("suspect", uint64(s.Suspect)), logger.Int("crashes", f.crashTracker.Suspects.Crashes(s.Suspect, now)))
+		}
 	}
 }
--- a/router/internal/forwarder/crash_test.go
+++ b/router/internal/forwarder/crash_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"cardamompulley/fleet/model"
-	"cardamompulley/fleet/quarantiner"
 )
 
 const (
@@ -79,14 +78,12 @@
 	}
 }
 
-// crashesCounted returns the highest number of crashes counted against any request.
+// crashesCounted returns the highest number of crashes counted against any suspect.
 func crashesCounted(f *Forwarder) int {
 	most := 0
-	f.UpdateQuarantine(func(r *quarantiner.Registry) {
-		for _, c := range r.RecordsToShare(f.clock.Now()) {
-			most = max(most, c.Crashes)
-		}
-	})
+	for _, s := range f.SharedSuspects(1 << 20) {
+		most = max(most, len(s.Crashes))
+	}
 
 	return most
 }
@@ -128,7 +125,7 @@
 	defer disconnect()
 	serveAborting(ctx, f, "a")
 	time.Sleep(50 * time.Millisecond)
-	f.recordCrash("e")
+	f.recordCrash(f.CurrentView().Endpoint("e"))
 	waitForCount(t, f, 1)
 }
 
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -68,18 +68,11 @@
 		prefills:       newPrefillTracker(),
 		balancer:       b,
 		retryBudget:    r,
-		crashTracker:   quarantiner.NewCrashTracker(quarantiner.NewRegistry()),
+		crashTracker:   quarantiner.NewCrashTracker(),
 		crashChecks:    map[model.EndpointID]bool{},
 	}
 }
 
-// UpdateQuarantine calls update with the registry of crash records, while it holds the forwarder's lock.
-func (f *Forwarder) UpdateQuarantine(update func(*quarantiner.Registry)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	update(f.crashTracker.Registry)
-}
-
 // ExpireLosses forgets lost requests that no crash can be counted against any more.
 func (f *Forwarder) ExpireLosses() {
 	f.mu.Lock()
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -56,7 +56,7 @@
 
 func (p *proxiedRequest) logFailedAttempt(failure *dispatcher.Failure) {
 	p.forwarder.log.Write(logger.EventAttemptFailed, append(p.logFields(),
-		logger.Hex("fingerprint", uint64(p.fingerprint)),
+		logger.Hex("suspect", uint64(p.suspects[0])),
 		logger.Err(failure.Err), logger.Bool("may-have-run", failure.MayHaveRun))...)
 }
 
@@ -64,7 +64,7 @@
 func (p *proxiedRequest) recordServed(status int) {
 	requestsServed.Inc()
 	if status < 300 {
-		p.forwarder.removeCrashRecords(p.fingerprint)
+		p.forwarder.clearSuspects(p.suspects)
 	}
 	requestSeconds.Update(float64(p.forwarder.clock.Now()-p.arrivedAt) / 1000)
 	p.forwarder.log.Write(logger.EventRequestServed, append(p.logFields(), logger.Int("status", status))...)
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -11,6 +11,7 @@
 	"cardamompulley/fleet/hasher"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/quarantiner"
 	"cardamompulley/fleet/retrier"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/platform"
@@ -62,8 +63,8 @@
 	errorResponse *bufferedResponse
 	// finishPrefill releases the requests that wait for this request's prefill.
 	finishPrefill func()
-	// fingerprint is the same each time a caller sends the same request.
-	fingerprint model.Fingerprint
+	// suspects is what is blamed if an endpoint crashes on the request.
+	suspects []quarantiner.SuspectID
 }
 
 func newProxiedRequest(f *Forwarder, w http.ResponseWriter, r *http.Request) *proxiedRequest {
@@ -101,8 +102,19 @@
 	return p.checkQuarantine()
 }
 
-// checkQuarantine computes the request's fingerprint and refuses a request that has crashed the endpoints that ran it.
+// checkQuarantine finds what may crash endpoints in the request, and refuses it if that has crashed the endpoints that ran it.
 func (p *proxiedRequest) checkQuarantine() *model.Refusal {
+	p.suspects = []quarantiner.SuspectID{p.fingerprint()}
+	retryAfter := p.forwarder.quarantinedFor(p.suspects)
+	if retryAfter <= 0 {
+		return nil
+	}
+
+	return model.NewRefusal(model.CodeRequestQuarantined, "the request has crashed the endpoints that ran it").WithRetryAfter(retryAfter)
+}
+
+// fingerprint returns a suspect that is the same each time a caller sends the same request.
+func (p *proxiedRequest) fingerprint() quarantiner.SuspectID {
 	digest := xxhash.New()
 	for _, part := range []string{p.request.Method, p.request.Host, p.request.RequestURI, string(p.account.ID)} {
 		// Writing to a hash never returns an error.
@@ -110,13 +122,8 @@
 		_, _ = digest.Write([]byte{0})
 	}
 	_, _ = digest.Write(p.body)
-	p.fingerprint = model.Fingerprint(digest.Sum64())
-	isQuarantined, retryAfter := p.forwarder.isQuarantined(p.fingerprint)
-	if !isQuarantined {
-		return nil
-	}
 
-	return model.NewRefusal(model.CodeRequestQuarantined, "the request has crashed the endpoints that ran it").WithRetryAfter(retryAfter)
+	return quarantiner.SuspectID(digest.Sum64())
 }
 
 // setDeadline sets the request's deadline to the caller's timeout or the route's, whichever is shorter.
--- a/router/internal/gateway/exchange.go
+++ b/router/internal/gateway/exchange.go
@@ -7,7 +7,6 @@
 	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/messenger"
-	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/quarantiner"
 	"cardamompulley/fleet/replicator"
 	"cardamompulley/fleet/timekeeper"
@@ -107,13 +106,7 @@
 			news.Loads = appendReport(news.Loads, r, now)
 		}
 	})
-	p.gateway.forwarder.UpdateQuarantine(func(r *quarantiner.Registry) {
-		for _, c := range r.RecordsToShare(p.gateway.clock.Now()) {
-			news.Marks = append(news.Marks, &messenger.CrashMark{
-				Fingerprint: uint64(c.Fingerprint), Crashes: uint32(c.Crashes), ExpiresInMs: int64(c.ExpiresIn),
-			})
-		}
-	})
+	news.Suspects = quarantiner.EncodeSuspicions(p.gateway.forwarder.SharedSuspects(maxSuspectBytes))
 
 	return news
 }
@@ -167,19 +160,7 @@
 		}
 		b.Membership.RecordExchange(news.Address, now)
 	})
-	p.gateway.forwarder.UpdateQuarantine(func(r *quarantiner.Registry) {
-		for _, m := range news.Marks {
-			record := quarantiner.CrashRecord{
-				Fingerprint: model.Fingerprint(m.Fingerprint),
-				Crashes:     int(m.Crashes),
-				ExpiresIn:   timekeeper.Millis(m.ExpiresInMs),
-			}
-			if r.Merge(record, p.gateway.clock.Now()) {
-				p.gateway.log.Write(logger.EventSuspectLearned, logger.String("gateway", news.Address),
-					logger.Hex("fingerprint", m.Fingerprint), logger.Int("crashes", m.Crashes))
-			}
-		}
-	})
+	p.gateway.forwarder.MergeSuspects(news.Address, quarantiner.DecodeSuspicions(news.Suspects))
 }
 
 // Trade implements the RPC Trade, the server side of a gossip exchange. It never returns an error.
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -140,7 +140,7 @@
 // probe dials an endpoint whose circuit breaker is open and reports the result to the balancer.
 func (g *Gateway) probe(ctx context.Context, e *cataloguer.Endpoint) {
 	err := g.pool.Probe(ctx, e.ID, e.Address)
-	g.forwarder.RecordDialError(e.ID, err)
+	g.forwarder.RecordDialError(e, err)
 	g.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) {
 		if err == nil {
 			b.RecordSuccess(e.ID)
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -35,6 +35,8 @@
 	maxPlacements = 40
 	// maxReportBytes is the maximum size of the load reports in one message.
 	maxReportBytes = 140
+	// maxSuspectBytes is the maximum size of the suspects in one message.
+	maxSuspectBytes = 320
 	// maxAddresses is the maximum number of gateway addresses in one message. maxNewcomerAddresses replaces it when the
 	// receiver knows fewer gateways than this one. Successive messages go through the known addresses in turn.
 	maxAddresses         = 1
