A request that an endpoint has served is cleared at all gateways, and stays clear for a minute

What callers would see: a sound request that stood beside a crasher three times is refused for ten minutes at one gateway although another has served it since.

Cause: a success deleted the crashes at one gateway only; the others kept and shared them, and so brought them back.

Evidence: TestServedRequestIsClearedAtAllGateways failed (all three gateways refuse).

Change: a whole answer makes a suspect trusted for a minute. No crash is counted against it meanwhile, since what crashes every endpoint that runs it is never answered. A gateway that trusts tells those that suspect; the trust is relayed, each relay costs a second of it, so it ends a minute after the latest answer at the latest. Answers are remembered in two generations of 16,384 at most.

TestTrustReachesGatewayThatSuspects, TestTrustExpiresAlthoughGatewaysRepeatIt, TestAnswerMemoryStaysBounded.

--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -43,7 +43,7 @@
 	EventRequestSuspected         = Event{310, "request-suspected", levelWarn, "A request was in flight when its endpoint crashed."}
 	EventRequestQuarantined       = Event{311, "request-condemned", levelAlarm, "A request has crashed as many endpoints as are tolerated and is quarantined."}
 	EventSuspectLearned           = Event{312, "suspect-learned", levelInfo, "Another gateway has reported crashes of a request that this one did not know."}
-	EventSuspectCleared           = Event{313, "suspect-cleared", levelInfo, "A suspected request was served; the crashes counted against it were deleted."}
+	EventSuspectCleared           = Event{313, "suspect-cleared", levelInfo, "A suspect was served, here or at another gateway; no crashes count against it any more."}
 	EventResponseMismatch         = Event{400, "crossed-answer", levelAlarm, "A response to another attempt arrived and was dropped."}
 	EventIncompleteResponse       = Event{401, "incomplete-answer", levelWarn, "A stream ended without its end marker."}
 	EventRetryBudgetExhausted     = Event{402, "retry-budget-empty", levelWarn, "A retry was not made because the retry budget is exhausted."}
--- a/fleet/quarantiner/crash_tracker_test.go
+++ b/fleet/quarantiner/crash_tracker_test.go
@@ -27,9 +27,9 @@
 	if isQuarantined, _ := c.IsQuarantined(innocent, 3000); isQuarantined {
 		t.Fatal("refused a request that was in flight at one crash only")
 	}
-	c.Suspects.Remove(culprit)
+	c.Suspects.RecordAnswer(culprit, 3000)
 	if isQuarantined, _ := c.IsQuarantined(culprit, 3000); isQuarantined {
-		t.Fatal("refused after its crashes were deleted")
+		t.Fatal("refused after it was answered in whole")
 	}
 }
 
@@ -103,3 +103,21 @@
 		}
 	}
 }
+
+func TestServedRequestIsClearedAtAllGateways(t *testing.T) {
+	const suspect = SuspectID(1)
+	trackers := []*CrashTracker{NewCrashTracker(), NewCrashTracker(), NewCrashTracker()}
+	for n, tracker := range trackers {
+		tracker.RecordLost(CrashID(n), []SuspectID{suspect}, 0)
+		tracker.RecordCrash(CrashID(n), 100)
+	}
+	shareAll(trackers, 200)
+	trackers[1].Suspects.RecordAnswer(suspect, 300)
+	shareAll(trackers, 400)
+	shareAll(trackers, 500)
+	for n, tracker := range trackers {
+		if isQuarantined, _ := tracker.IsQuarantined(suspect, 600); isQuarantined {
+			t.Errorf("gateway %d refuses a request that has been served since its crashes", n)
+		}
+	}
+}
--- a/fleet/quarantiner/suspect_table.go
+++ b/fleet/quarantiner/suspect_table.go
@@ -42,13 +42,15 @@
 	return CrashID(digest.Sum64())
 }
 
-// Suspicion is what a gateway tells others of a suspect: the crashes counted against it, and how long they count.
+// Suspicion is what a gateway tells others of a suspect: the crashes counted against it, and how long they count. Without
+// crashes it tells that the suspect was answered in whole, and how long it is trusted for that.
 type Suspicion struct {
 	Suspect   SuspectID
 	Crashes   []CrashID
 	ExpiresIn timekeeper.Millis
 }
 
+// suspectRecord holds the crashes of a suspect, or that it is trusted: then it has none.
 type suspectRecord struct {
 	// crashes is sorted.
 	crashes   []CrashID
@@ -59,15 +61,16 @@
 }
 
 // SuspectTable holds the crashes counted against suspects, by this gateway and by those that it hears from. A crash counts once
-// however many gateways report it, and the crashes that different gateways report add up. SuspectTable is not safe for
-// concurrent use.
+// however many gateways report it, and the crashes that different gateways report add up. A whole answer at any gateway clears a
+// suspect at all of them, and keeps it clear while it is trusted. SuspectTable is not safe for concurrent use.
 type SuspectTable struct {
-	records map[SuspectID]*suspectRecord
+	records  map[SuspectID]*suspectRecord
+	answered *answerMemory
 }
 
 // NewSuspectTable returns an empty table.
 func NewSuspectTable() *SuspectTable {
-	return &SuspectTable{records: map[SuspectID]*suspectRecord{}}
+	return &SuspectTable{records: map[SuspectID]*suspectRecord{}, answered: newAnswerMemory()}
 }
 
 // Crashes returns the number of crashes that count against a suspect.
@@ -88,19 +91,44 @@
 	return 0
 }
 
-// Add counts a crash against a suspect and reports whether it was not counted yet.
+// Add counts a crash against a suspect and reports whether it was not counted yet. It counts none against a trusted suspect.
 func (t *SuspectTable) Add(s SuspectID, c CrashID, now timekeeper.Millis) bool {
-	return t.merge(s, []CrashID{c}, recordLifetime, now)
+	if t.trustedFor(s, now) > 0 {
+		return false
+	}
+
+	return t.addCrashes(s, []CrashID{c}, recordLifetime, now)
 }
 
-// Merge takes in what another gateway tells and reports whether it counts crashes that were not known here.
+// Merge takes in what another gateway tells and reports whether it changes what is counted here. Crashes of a suspect that is
+// trusted here are not counted, and the other gateways are told so.
 func (t *SuspectTable) Merge(s Suspicion, now timekeeper.Millis) bool {
-	return t.merge(s.Suspect, s.Crashes, min(s.ExpiresIn, recordLifetime)-relayCost, now)
+	expiresIn := min(s.ExpiresIn, recordLifetime) - relayCost
+	if expiresIn <= 0 {
+		return false
+	}
+	if len(s.Crashes) == 0 {
+		return t.trust(s.Suspect, min(expiresIn, trustDuration), now)
+	}
+	if trustedFor := t.trustedFor(s.Suspect, now); trustedFor > 0 {
+		t.announceTrust(s.Suspect, trustedFor, now)
+
+		return false
+	}
+
+	return t.addCrashes(s.Suspect, s.Crashes, expiresIn, now)
 }
 
-// Remove deletes the crashes of a suspect.
-func (t *SuspectTable) Remove(s SuspectID) {
-	delete(t.records, s)
+// RecordAnswer records that a request with a suspect was answered in whole, and returns the number of crashes that counted
+// against the suspect until then.
+func (t *SuspectTable) RecordAnswer(s SuspectID, now timekeeper.Millis) int {
+	t.answered.record(s, now)
+	crashes := t.Crashes(s, now)
+	if crashes > 0 {
+		t.trust(s, trustDuration, now)
+	}
+
+	return crashes
 }
 
 func (t *SuspectTable) live(s SuspectID, now timekeeper.Millis) *suspectRecord {
@@ -112,10 +140,39 @@
 	return r
 }
 
-func (t *SuspectTable) merge(s SuspectID, crashes []CrashID, expiresIn, now timekeeper.Millis) bool {
-	if expiresIn <= 0 {
+// trustedFor returns how long a suspect is still trusted, zero if it is not.
+func (t *SuspectTable) trustedFor(s SuspectID, now timekeeper.Millis) timekeeper.Millis {
+	trusted := t.answered.trustedFor(s, now)
+	if r := t.live(s, now); r != nil && len(r.crashes) == 0 {
+		trusted = max(trusted, r.expiresAt-now)
+	}
+
+	return trusted
+}
+
+// trust clears a suspect and keeps it clear for a time. It reports whether crashes counted against the suspect.
+func (t *SuspectTable) trust(s SuspectID, duration, now timekeeper.Millis) bool {
+	r := t.live(s, now)
+	if r != nil && len(r.crashes) == 0 {
+		r.expiresAt = max(r.expiresAt, now+duration)
+
 		return false
 	}
+	t.put(s, &suspectRecord{expiresAt: now + duration, changedAt: now}, now)
+
+	return r != nil
+}
+
+// announceTrust makes the trust in a suspect news for the other gateways, unless it is.
+func (t *SuspectTable) announceTrust(s SuspectID, duration, now timekeeper.Millis) {
+	if r := t.live(s, now); r != nil && now-r.changedAt < freshDuration {
+		return
+	}
+	t.put(s, &suspectRecord{expiresAt: now + duration, changedAt: now}, now)
+}
+
+// addCrashes counts crashes against a suspect and reports whether any was not counted yet.
+func (t *SuspectTable) addCrashes(s SuspectID, crashes []CrashID, expiresIn, now timekeeper.Millis) bool {
 	r := t.live(s, now)
 	if r == nil {
 		r = &suspectRecord{}
--- a/fleet/quarantiner/suspect_table_test.go
+++ b/fleet/quarantiner/suspect_table_test.go
@@ -85,3 +85,61 @@
 		DecodeSuspicions(encoded[:n])
 	}
 }
+
+// A gateway that knows a suspect to be sound clears it at one that learns of its crashes later.
+func TestTrustReachesGatewayThatSuspects(t *testing.T) {
+	trusting, suspecting, third := NewSuspectTable(), NewSuspectTable(), NewSuspectTable()
+	trusting.RecordAnswer(1, 0)
+	suspecting.Add(1, 1, 100)
+	send := func(from, to *SuspectTable) {
+		for _, s := range from.Share(1<<20, 200) {
+			to.Merge(s, 200)
+		}
+	}
+	send(suspecting, trusting)
+	send(suspecting, third)
+	send(trusting, suspecting)
+	send(suspecting, third)
+	for name, table := range map[string]*SuspectTable{"trusting": trusting, "suspecting": suspecting, "third": third} {
+		if n := table.Crashes(1, 200); n != 0 {
+			t.Errorf("the %s gateway counts %d crashes, want 0", name, n)
+		}
+	}
+	if suspecting.Add(1, 2, 300) {
+		t.Error("counted a crash against a trusted suspect")
+	}
+	if !suspecting.Add(1, 2, 300+trustDuration) {
+		t.Error("counted no crash after the trust has expired")
+	}
+}
+
+// Trust that is passed back and forth expires all the same.
+func TestTrustExpiresAlthoughGatewaysRepeatIt(t *testing.T) {
+	a, b := NewSuspectTable(), NewSuspectTable()
+	a.Add(1, 1, 0)
+	a.RecordAnswer(1, 0)
+	for now := timekeeper.Millis(0); now < trustDuration; now += timekeeper.Second / 2 {
+		for _, s := range a.Share(1<<20, now) {
+			b.Merge(s, now+timekeeper.Second/4)
+		}
+		for _, s := range b.Share(1<<20, now) {
+			a.Merge(s, now+timekeeper.Second/4)
+		}
+	}
+	if !a.Add(1, 2, trustDuration) || !b.Add(1, 2, trustDuration) {
+		t.Fatal("trust outlives its duration")
+	}
+}
+
+func TestAnswerMemoryStaysBounded(t *testing.T) {
+	m := newAnswerMemory()
+	for n := range 5 * maxAnsweredPerGeneration {
+		m.record(SuspectID(n), 0)
+	}
+	if n := len(m.newer) + len(m.older); n > 2*maxAnsweredPerGeneration {
+		t.Fatalf("%d suspects remembered, want at most %d", n, 2*maxAnsweredPerGeneration)
+	}
+	if m.trustedFor(5*maxAnsweredPerGeneration-1, trustDuration-1) <= 0 || m.trustedFor(5*maxAnsweredPerGeneration-1, trustDuration) > 0 {
+		t.Error("the newest suspect is not trusted for as long as it should be")
+	}
+}
--- a/router/internal/forwarder/crash.go
+++ b/router/internal/forwarder/crash.go
@@ -101,13 +101,12 @@
 	return longest
 }
 
-// clearSuspects deletes the crashes counted against the suspects of a request that an endpoint has served.
+// clearSuspects clears the suspects of a request that an endpoint has answered in whole.
 func (f *Forwarder) clearSuspects(suspects []quarantiner.SuspectID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range suspects {
-		if crashes := f.crashTracker.Suspects.Crashes(s, f.clock.Now()); crashes > 0 {
-			f.crashTracker.Suspects.Remove(s)
+		if crashes := f.crashTracker.Suspects.RecordAnswer(s, f.clock.Now()); crashes > 0 {
 			f.log.Write(logger.EventSuspectCleared, logger.Hex("suspect", uint64(s)), logger.Int("crashes", crashes))
 		}
 	}
@@ -127,9 +126,14 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	for _, s := range suspicions {
-		if f.crashTracker.Suspects.Merge(s, now) {
-			f.log.Write(logger.EventSuspectLearned, logger.String("gateway", gateway),
-				logger.Hex("suspect", uint64(s.Suspect)), logger.Int("crashes", f.crashTracker.Suspects.Crashes(s.Suspect, now)))
+		if !f.crashTracker.Suspects.Merge(s, now) {
+			continue
 		}
+		event := logger.EventSuspectLearned
+		if len(s.Crashes) == 0 {
+			event = logger.EventSuspectCleared
+		}
+		f.log.Write(event, logger.String("gateway", gateway),
+			logger.Hex("suspect", uint64(s.Suspect)), logger.Int("crashes", f.crashTracker.Suspects.Crashes(s.Suspect, now)))
 	}
 }
