A request that is quarantined while it is tried is not sent again

Cause: quarantine was checked once, when a request arrives. Later attempts, and requests that wait for another one's prefill, went on.

Evidence: TestRequestThatIsQuarantinedBetweenAttemptsIsNotSentAgain failed (2 endpoints got the request).

Change: the check stands before each attempt. The answer is 503 if no attempt may have run, else 502 as after any such attempt.

--- a/router/internal/forwarder/crash_test.go
+++ b/router/internal/forwarder/crash_test.go
@@ -12,7 +12,12 @@
 	"testing"
 	"time"
 
+	"cardamompulley/fleet/balancer"
+	"cardamompulley/fleet/budgeter"
+	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/quarantiner"
+	"cardamompulley/fleet/timekeeper"
 )
 
 const (
@@ -27,8 +32,9 @@
 	listener net.Listener
 	start    string
 
-	mu    sync.Mutex
-	conns []net.Conn
+	mu       sync.Mutex
+	conns    []net.Conn
+	requests int
 }
 
 func newCrashingEndpoint(t *testing.T, start string) *crashingEndpoint {
@@ -61,6 +67,9 @@
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return
 	}
+	e.mu.Lock()
+	e.requests++
+	e.mu.Unlock()
 	if _, err := io.WriteString(conn, e.start); err != nil {
 		return
 	}
@@ -166,3 +175,52 @@
 		t.Fatalf("%d crashes counted, want 0", n)
 	}
 }
+
+// A request that is quarantined while it is tried must not be sent again.
+func TestRequestThatIsQuarantinedBetweenAttemptsIsNotSentAgain(t *testing.T) {
+	first, second := newCrashingEndpoint(t, ""), newCrashingEndpoint(t, "")
+	f := newTestForwarder(first.listener.Addr().String())
+	view := twoEndpointView(f, first.listener.Addr().String(), second.listener.Addr().String())
+	calls := 0
+	f.CurrentView = func() *cataloguer.View {
+		if calls++; calls > 1 {
+			waitForCount(t, f, 1)
+			for _, s := range f.SharedSuspects(1 << 20) {
+				f.MergeSuspects("other", []quarantiner.Suspicion{
+					{Suspect: s.Suspect, Crashes: []quarantiner.CrashID{1, 2}, ExpiresIn: timekeeper.Minute},
+				})
+			}
+		}
+
+		return view
+	}
+	serveAborting(t.Context(), f, "a")
+	first.mu.Lock()
+	second.mu.Lock()
+	defer first.mu.Unlock()
+	defer second.mu.Unlock()
+	if n := first.requests + second.requests; n != 1 {
+		t.Fatalf("%d endpoints got the request, want 1", n)
+	}
+}
+
+// twoEndpointView returns a view with two endpoints and a route whose requests may run again.
+func twoEndpointView(f *Forwarder, addresses ...string) *cataloguer.View {
+	const service = "s"
+	route := cataloguer.Route{
+		Name: "r", Host: "a", Prefix: "/", Kind: cataloguer.KindIdempotent, IsPublic: true, MaxAttempts: 5,
+		TrafficSplit: []cataloguer.WeightedService{{Service: service, Weight: 1}},
+	}
+	c := cataloguer.NewConfiguration(1, cataloguer.Limits{}, []cataloguer.Route{route}, []cataloguer.Service{{ID: service}}, nil, false)
+	var endpoints []*cataloguer.Endpoint
+	for _, address := range addresses {
+		endpoints = append(endpoints, &cataloguer.Endpoint{ID: model.EndpointID(address), Service: service, Domain: "d", Address: address})
+	}
+	f.UpdateBalancer(func(_ *balancer.Balancer, r *budgeter.RetryBudget) {
+		for range 100 {
+			r.RecordRequest(service, f.clock.Now())
+		}
+	})
+
+	return cataloguer.NewView(c, nil, endpoints, 1, f.clock.Now())
+}
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -99,12 +99,13 @@
 		return refusal
 	}
 
+	p.suspects = []quarantiner.SuspectID{p.fingerprint()}
+
 	return p.checkQuarantine()
 }
 
-// checkQuarantine finds what may crash endpoints in the request, and refuses it if that has crashed the endpoints that ran it.
+// checkQuarantine refuses a request if something in it has crashed the endpoints that ran it.
 func (p *proxiedRequest) checkQuarantine() *model.Refusal {
-	p.suspects = []quarantiner.SuspectID{p.fingerprint()}
 	retryAfter := p.forwarder.quarantinedFor(p.suspects)
 	if retryAfter <= 0 {
 		return nil
@@ -192,6 +193,9 @@
 	defer p.recordUnanswered()
 	p.coordinatePrefill()
 	defer func() { p.finishPrefill() }()
+	if refusal := p.checkQuarantine(); refusal != nil {
+		return &dispatcher.Failure{AttemptFailure: retrier.AttemptFailure{IsFinal: true}, Refusal: refusal, Err: refusal}
+	}
 
 	return p.sendToEndpoint()
 }
