--- /dev/null
+++ b/experimenter/internal/prover/crash_simulation.go
@@ -0,0 +1,304 @@
+package prover
+
+import (
+	"fmt"
+
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/quarantiner"
+	"cardamompulley/fleet/timekeeper"
+)
+
+// CrashVariant disables mechanisms of the quarantine. The zero value is the product as it is.
+type CrashVariant struct {
+	// SharesNothing keeps gateways from telling each other of suspects.
+	SharesNothing bool
+	// IgnoresPartitions lets a gateway count as if it heard from all others.
+	IgnoresPartitions bool
+	// ForgetsAnswers keeps whole answers from clearing suspects.
+	ForgetsAnswers bool
+}
+
+const (
+	crashSteps        = 1200
+	crashStepInterval = 10 * timekeeper.Millis(1)
+	// crashContactTime is the time within which all gateways in touch have to know what has crashed endpoints.
+	crashContactTime = 3 * timekeeper.Second
+	// maxLateSends is how many requests that crash endpoints may be sent after that, over all gateways in touch.
+	maxLateSends = 3
+	// crashGossipInterval is the time between the exchanges that a gateway starts, crashGossipTimeout how long one with a gateway
+	// out of reach takes.
+	crashGossipInterval = 125 * timekeeper.Millis(1)
+	crashGossipTimeout  = 600 * timekeeper.Millis(1)
+	crashGossipBytes    = 320
+	// maxPartitions limits the gateways cut off at the same time: each of them can learn of a crash only by itself.
+	maxPartitions = 2
+	// soundBound is the share of the sound requests that must not be refused.
+	soundBound = 0.9
+)
+
+// crashGateway is one gateway: the product's crash tracker, and the faults that affect it.
+type crashGateway struct {
+	tracker          *quarantiner.CrashTracker
+	startedAt        timekeeper.Millis
+	partitionedUntil timekeeper.Millis
+	nextGossip       timekeeper.Millis
+	// failures are the ends of exchanges that time out.
+	failures []timekeeper.Millis
+}
+
+// crasher is a request that crashes each endpoint that runs it and comes again and again at any gateway.
+type crasher struct {
+	suspects  []quarantiner.SuspectID
+	tolerated int
+	interval  timekeeper.Millis
+	nextAt    timekeeper.Millis
+	crashes   []timekeeper.Millis
+	lateSends int
+}
+
+// crashRun is a request that runs at an endpoint.
+type crashRun struct {
+	gateway  *crashGateway
+	suspects []quarantiner.SuspectID
+	crasher  *crasher
+	endsAt   timekeeper.Millis
+}
+
+// crashEndpoint is an endpoint with the requests that run there; it is back under a new ID after a crash.
+type crashEndpoint struct {
+	id        model.EndpointID
+	downUntil timekeeper.Millis
+	runs      []*crashRun
+}
+
+// crashSimulation simulates gateways and endpoints on one virtual clock.
+type crashSimulation struct {
+	choose    Chooser
+	variant   CrashVariant
+	now       timekeeper.Millis
+	gateways  []*crashGateway
+	endpoints []*crashEndpoint
+	crashers  []*crasher
+	starts    int
+	requests  int
+	sound     int
+	refused   int
+	violation *Violation
+}
+
+// RunCrashSimulation sends requests, some of which crash every endpoint that runs them, to gateways that are cut off from each
+// other and start anew. It checks that the gateways stop sending what crashes endpoints, and serve the rest.
+func RunCrashSimulation(c Chooser, variant CrashVariant) *Violation {
+	s := newCrashSimulation(c, variant)
+	for range crashSteps {
+		s.now += crashStepInterval
+		s.injectFaults()
+		for _, g := range s.gateways {
+			s.stepGateway(g)
+		}
+		s.sendRequests()
+		for _, e := range s.endpoints {
+			s.stepEndpoint(e)
+		}
+		if s.violation != nil {
+			return s.violation
+		}
+	}
+	if float64(s.refused) > (1-soundBound)*float64(s.sound) {
+		s.recordViolation("sound requests are served", "%d of %d were refused", s.refused, s.sound)
+	}
+
+	return s.violation
+}
+
+func newCrashSimulation(c Chooser, variant CrashVariant) *crashSimulation {
+	s := &crashSimulation{choose: c, variant: variant, now: timekeeper.Second}
+	for range 1 + c(16) {
+		s.gateways = append(s.gateways, s.startGateway())
+	}
+	for range 4 + c(40) {
+		s.endpoints = append(s.endpoints, s.startEndpoint())
+	}
+	for n := range 1 + c(2) {
+		s.crashers = append(s.crashers, &crasher{
+			suspects:  []quarantiner.SuspectID{quarantiner.SuspectID(1 + n)},
+			tolerated: quarantiner.GatewayQuarantineThreshold,
+			interval:  100 + c.duration(1900),
+			nextAt:    s.now + timekeeper.Second,
+		})
+	}
+
+	return s
+}
+
+func (s *crashSimulation) recordViolation(property, format string, arguments ...any) {
+	if s.violation == nil {
+		s.violation = &Violation{Property: property, Detail: fmt.Sprintf("at %d ms: ", s.now) + fmt.Sprintf(format, arguments...)}
+	}
+}
+
+func (s *crashSimulation) startGateway() *crashGateway {
+	tracker := quarantiner.NewCrashTracker()
+	if !s.variant.IgnoresPartitions {
+		tracker.FleetSize = func() int { return len(s.gateways) }
+	}
+
+	return &crashGateway{tracker: tracker, startedAt: s.now, nextGossip: s.now + s.choose.duration(crashGossipInterval)}
+}
+
+func (s *crashSimulation) startEndpoint() *crashEndpoint {
+	s.starts++
+
+	return &crashEndpoint{id: model.EndpointID(fmt.Sprintf("endpoint-%d", s.starts))}
+}
+
+// injectFaults cuts gateways off from the others or starts them anew.
+func (s *crashSimulation) injectFaults() {
+	n := s.choose(len(s.gateways))
+	switch s.choose(300) {
+	case 0:
+		s.gateways[n] = s.startGateway()
+	case 1, 2:
+		if s.partitionCount() < maxPartitions {
+			s.gateways[n].partitionedUntil = s.now + s.choose.duration(6*timekeeper.Second)
+		}
+	}
+}
+
+func (s *crashSimulation) partitionCount() int {
+	count := 0
+	for _, g := range s.gateways {
+		if g.partitionedUntil > s.now {
+			count++
+		}
+	}
+
+	return count
+}
+
+// stepGateway runs the exchanges that are due at a gateway.
+func (s *crashSimulation) stepGateway(g *crashGateway) {
+	for len(g.failures) > 0 && g.failures[0] <= s.now {
+		g.failures = g.failures[1:]
+		g.recordExchange(false, s)
+	}
+	if g.nextGossip > s.now || len(s.gateways) == 1 {
+		return
+	}
+	g.nextGossip = s.now + crashGossipInterval
+	other := s.gateways[s.choose(len(s.gateways))]
+	if other == g {
+		return
+	}
+	if g.partitionedUntil > s.now || other.partitionedUntil > s.now {
+		g.failures = append(g.failures, s.now+crashGossipTimeout)
+
+		return
+	}
+	g.recordExchange(true, s)
+	other.recordExchange(true, s)
+	s.tell(g, other)
+	s.tell(other, g)
+}
+
+func (g *crashGateway) recordExchange(succeeded bool, s *crashSimulation) {
+	g.tracker.Reach.RecordExchange(succeeded, s.now)
+}
+
+// tell sends what a gateway knows of suspects to another.
+func (s *crashSimulation) tell(from, to *crashGateway) {
+	encoded := quarantiner.EncodeSuspicions(from.tracker.Suspects.Share(crashGossipBytes, s.now))
+	if s.variant.SharesNothing {
+		return
+	}
+	for _, suspicion := range quarantiner.DecodeSuspicions(encoded) {
+		to.tracker.Suspects.Merge(suspicion, s.now)
+	}
+}
+
+// sendRequests sends the crashers that are due, and sound requests.
+func (s *crashSimulation) sendRequests() {
+	for _, c := range s.crashers {
+		if c.nextAt <= s.now {
+			c.nextAt = s.now + c.interval/2 + s.choose.duration(c.interval)
+			s.sendCrasher(c)
+		}
+	}
+	for range s.choose(3) {
+		s.requests++
+		s.sound++
+		suspects := []quarantiner.SuspectID{quarantiner.SuspectID(1000 + s.requests)}
+		run := &crashRun{gateway: s.gateways[s.choose(len(s.gateways))], suspects: suspects, endsAt: s.now + 100 + s.choose.duration(1500)}
+		if !s.start(run) {
+			s.refused++
+		}
+	}
+}
+
+func (s *crashSimulation) sendCrasher(c *crasher) {
+	g := s.gateways[s.choose(len(s.gateways))]
+	if !s.start(&crashRun{gateway: g, suspects: c.suspects, crasher: c, endsAt: s.now + 20 + s.choose.duration(200)}) {
+		return
+	}
+	isInTouch := s.now-g.startedAt >= crashContactTime
+	if !isInTouch || len(c.crashes) < c.tolerated || s.now <= c.crashes[c.tolerated-1]+crashContactTime {
+		return
+	}
+	if c.lateSends++; c.lateSends > maxLateSends {
+		s.recordViolation("what crashes endpoints stops reaching them",
+			"%d sends later than %d ms after crash %d, %d gateways", c.lateSends, crashContactTime, c.tolerated, len(s.gateways))
+	}
+}
+
+// start runs a request at a random endpoint that is up, and returns false if its gateway refuses it. A request is dropped if no
+// endpoint is up.
+func (s *crashSimulation) start(run *crashRun) bool {
+	for _, suspect := range run.suspects {
+		if isQuarantined, _ := run.gateway.tracker.IsQuarantined(suspect, s.now); isQuarantined {
+			return false
+		}
+	}
+	if e := s.endpoints[s.choose(len(s.endpoints))]; e.downUntil <= s.now {
+		e.runs = append(e.runs, run)
+	}
+
+	return true
+}
+
+// stepEndpoint ends the requests that are due at an endpoint.
+func (s *crashSimulation) stepEndpoint(e *crashEndpoint) {
+	running := e.runs[:0]
+	for _, run := range e.runs {
+		switch {
+		case run.endsAt > s.now:
+			running = append(running, run)
+		case run.crasher != nil:
+			s.crash(e, run.crasher)
+
+			return
+		case !s.variant.ForgetsAnswers:
+			run.recordAnswer(s.now)
+		}
+	}
+	e.runs = running
+}
+
+func (r *crashRun) recordAnswer(now timekeeper.Millis) {
+	for _, suspect := range r.suspects {
+		r.gateway.tracker.Suspects.RecordAnswer(suspect, now)
+	}
+}
+
+// crash ends an endpoint; each gateway loses the requests that it runs there, and notices the crash.
+func (s *crashSimulation) crash(e *crashEndpoint, c *crasher) {
+	c.crashes = append(c.crashes, s.now)
+	crash := quarantiner.NewCrashID(e.id, 0)
+	for _, run := range e.runs {
+		run.gateway.tracker.RecordLost(crash, run.suspects, s.now)
+	}
+	for _, run := range e.runs {
+		run.gateway.tracker.RecordCrash(crash, s.now)
+	}
+	*e = *s.startEndpoint()
+	e.downUntil = s.now + 500 + s.choose.duration(3*timekeeper.Second)
+}
--- /dev/null
+++ b/experimenter/internal/prover/crash_simulation_test.go
@@ -0,0 +1,32 @@
+package prover
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestCrashersUnderFaults(t *testing.T) {
+	requireNoViolation(t, Properties()[5])
+}
+
+func TestCrashersRapid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		if v := RunCrashSimulation(choose, CrashVariant{}); v != nil {
+			t.Fatal(v)
+		}
+	})
+}
+
+func TestCrashNaiveVariantsBreak(t *testing.T) {
+	cases := map[string]CrashVariant{
+		"shares nothing":     {SharesNothing: true},
+		"ignores partitions": {IgnoresPartitions: true},
+	}
+	for name, variant := range cases {
+		t.Run(name, func(t *testing.T) {
+			requireViolation(t, func(c Chooser) *Violation { return RunCrashSimulation(c, variant) })
+		})
+	}
+}
--- a/experimenter/internal/prover/prover.go
+++ b/experimenter/internal/prover/prover.go
@@ -83,6 +83,11 @@
 			Faults: "restart, freeze, cut from the store or from each other, store away, endpoints come and leave, domains out",
 			Run:    func(c Chooser) *Violation { return RunGatewaySimulation(c, GatewayVariant{}) },
 		},
+		{
+			Name:   "what crashes endpoints stays away",
+			Faults: "gateways cut off from each other, restart, two crashing requests, sound requests beside them",
+			Run:    func(c Chooser) *Violation { return RunCrashSimulation(c, CrashVariant{}) },
+		},
 	}
 }
 
--- a/fleet/quarantiner/crash_tracker.go
+++ b/fleet/quarantiner/crash_tracker.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"math"
 	"slices"
 
 	"cardamompulley/fleet/timekeeper"
@@ -14,6 +15,8 @@
 	// GatewayQuarantineThreshold is the number of crashes after which a gateway refuses a request. It is higher than
 	// QuarantineThreshold because a gateway cannot run suspects in isolation.
 	GatewayQuarantineThreshold = 3
+	// partitionRetryAfter is when a request may come again that is refused only because other gateways are out of reach.
+	partitionRetryAfter = timekeeper.Second
 )
 
 type lostRequest struct {
@@ -32,6 +35,10 @@
 // CrashTracker finds out what may have crashed endpoints, from the requests that a gateway lost there. It is not safe for
 // concurrent use.
 type CrashTracker struct {
+	// Reach estimates from how many other gateways this one hears.
+	Reach Reach
+	// FleetSize returns the number of gateways, this one included.
+	FleetSize func() int
 	// Suspects holds the crashes that this gateway and others have counted.
 	Suspects *SuspectTable
 
@@ -40,7 +47,11 @@
 
 // NewCrashTracker returns a tracker without losses.
 func NewCrashTracker() *CrashTracker {
-	return &CrashTracker{Suspects: NewSuspectTable(), endpoints: map[CrashID]*endpointLosses{}}
+	return &CrashTracker{
+		FleetSize: func() int { return 1 },
+		Suspects:  NewSuspectTable(),
+		endpoints: map[CrashID]*endpointLosses{},
+	}
 }
 
 // RecordLost records a request that has reached an endpoint and ended without a whole response; c identifies the crash that the
@@ -106,11 +117,18 @@
 	}
 }
 
-// IsQuarantined reports whether a request has crashed so many endpoints that the gateway refuses it, and for how long.
+// IsQuarantined reports whether a suspect has crashed so many endpoints that the gateway refuses its requests, and after how
+// long a caller may come again. A gateway that hears from a share of the others only tolerates that share of the crashes,
+// because the others may have seen the rest.
 func (t *CrashTracker) IsQuarantined(s SuspectID, now timekeeper.Millis) (bool, timekeeper.Millis) {
-	if t.Suspects.Crashes(s, now) < GatewayQuarantineThreshold {
+	crashes := t.Suspects.Crashes(s, now)
+	if crashes >= GatewayQuarantineThreshold {
+		return true, t.Suspects.ExpiresIn(s, now)
+	}
+	if crashes == 0 {
 		return false, 0
 	}
+	tolerated := math.Ceil(GatewayQuarantineThreshold * t.Reach.Share(t.FleetSize(), now))
 
-	return true, t.Suspects.ExpiresIn(s, now)
+	return crashes >= int(tolerated), partitionRetryAfter
 }
--- a/router/internal/forwarder/crash.go
+++ b/router/internal/forwarder/crash.go
@@ -112,6 +112,13 @@
 	}
 }
 
+// RecordExchange records the end of an exchange with another gateway.
+func (f *Forwarder) RecordExchange(succeeded bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashTracker.Reach.RecordExchange(succeeded, f.clock.Now())
+}
+
 // SharedSuspects returns what to tell another gateway of suspects, in at most maxBytes.
 func (f *Forwarder) SharedSuspects(maxBytes int) []quarantiner.Suspicion {
 	f.mu.Lock()
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -57,6 +57,9 @@
 // NewForwarder returns a forwarder that sends requests over the connections of a pool. Its exported fields
 // must be set before it serves requests.
 func NewForwarder(b *balancer.Balancer, r *budgeter.RetryBudget, p *connector.Pool, clock timekeeper.Clock, log logger.Logger) *Forwarder {
+	crashTracker := quarantiner.NewCrashTracker()
+	crashTracker.FleetSize = func() int { return len(b.Membership.Members()) }
+
 	return &Forwarder{
 		CurrentView:    func() *cataloguer.View { return nil },
 		IsShuttingDown: func() bool { return false },
@@ -68,7 +71,7 @@
 		prefills:       newPrefillTracker(),
 		balancer:       b,
 		retryBudget:    r,
-		crashTracker:   quarantiner.NewCrashTracker(),
+		crashTracker:   crashTracker,
 		crashChecks:    map[model.EndpointID]bool{},
 	}
 }
--- a/router/internal/gateway/exchange.go
+++ b/router/internal/gateway/exchange.go
@@ -36,6 +36,7 @@
 
 // recordExchange records the end of an exchange and logs when a gateway stops answering or answers again.
 func (p *peers) recordExchange(address string, err error) {
+	p.gateway.forwarder.RecordExchange(err == nil)
 	p.mu.Lock()
 	other, ok := p.byAddress[address]
 	if !ok {
@@ -165,6 +166,7 @@
 
 // Trade implements the RPC Trade, the server side of a gossip exchange. It never returns an error.
 func (p *peers) Trade(_ context.Context, r *messenger.TradeRequest) (*messenger.TradeResponse, error) {
+	p.gateway.forwarder.RecordExchange(true)
 	p.applyNews(r.News)
 	p.applyPlacements(r.Placements)
 	placements, next := p.placementsFor(r.News.GetAddress())
