--- a/experimenter/internal/launcher/gateway_crash_test.go
+++ b/experimenter/internal/launcher/gateway_crash_test.go
@@ -20,6 +20,11 @@
 	maxLateArrivals = 3
 	// crashesOfRequest is the number of endpoints that one request may crash before the time begins.
 	crashesOfRequest = 3
+	// crashesOfPart is the number of endpoints that requests with one prompt part may crash before the time begins.
+	crashesOfPart = 5
+	// minSoundShare is the share of the sound requests that have to be served from twice the contact time after the last
+	// tolerated crash on.
+	minSoundShare = 0.95
 )
 
 // crashTraffic is a load of sound requests, with one crashing request that comes again and again at any gateway.
@@ -31,16 +36,24 @@
 	newCrasher func(n int) *gatewayCall
 
 	sound, served atomic.Int64
+	// lateSound and lateServed count the sound requests sent later than recoveryDelay after the start.
+	lateSound, lateServed atomic.Int64
 }
 
+// recoveryDelay is the time after the start of the traffic from which sound requests have to be served as if nothing crashed:
+// the crashing requests begin after a second, and twice the contact time follows the fifth crash.
+const recoveryDelay = 9 * time.Second
+
 // run sends the traffic for a time, crashing requests after a second, and waits until all requests have ended.
 func (c *crashTraffic) run(ctx context.Context, duration time.Duration) {
 	var w sync.WaitGroup
 	defer w.Wait()
-	end := time.Now().Add(duration)
+	start := time.Now()
+	end := start.Add(duration)
 	w.Go(func() {
 		for n := 0; time.Now().Before(end); n++ {
-			w.Go(func() { c.sendSound(ctx, n) })
+			isLate := time.Since(start) > recoveryDelay
+			w.Go(func() { c.sendSound(ctx, n, isLate) })
 			time.Sleep(c.soundEvery)
 		}
 	})
@@ -53,13 +66,26 @@
 	}
 }
 
-func (c *crashTraffic) sendSound(ctx context.Context, n int) {
+func (c *crashTraffic) sendSound(ctx context.Context, n int, isLate bool) {
 	call := newGatewayCall(c.fleet.Gateways[n%len(c.fleet.Gateways)], http.MethodPost, editsPath).asStream()
 	call.body = fmt.Sprintf("sound request %d", n)
-	call.headers["Cardamompulley-Prompt-Prefix"] = fmt.Sprintf("a1:50,%x:50,%x:20", 0xb00+n%20, 0xc0000+n)
-	c.sound.Add(1)
-	if r := call.send(ctx); r.err == nil && r.status == http.StatusOK && r.body == completeStream(eventsOfAnswer) {
-		c.served.Add(1)
+	call.headers["Cardamompulley-Prompt-Prefix"] = fmt.Sprintf("a1:50,%x:50,%x:50,%x:20", 0xb00+n%5, 0xd00+n%20, 0xc0000+n)
+	r := call.send(ctx)
+	isServed := r.err == nil && r.status == http.StatusOK && r.body == completeStream(eventsOfAnswer)
+	counters := map[*atomic.Int64]bool{&c.sound: true, &c.served: isServed, &c.lateSound: isLate, &c.lateServed: isLate && isServed}
+	for counter, counts := range counters {
+		if counts {
+			counter.Add(1)
+		}
+	}
+}
+
+// requireSoundServed fails the test if too few sound requests were served.
+func (c *crashTraffic) requireSoundServed(t *testing.T) {
+	t.Helper()
+	share := float64(c.lateServed.Load()) / float64(max(c.lateSound.Load(), 1))
+	if share < minSoundShare {
+		t.Errorf("%.2f of the sound requests were served after the crashes, want %.2f", share, minSoundShare)
 	}
 }
 
@@ -93,8 +119,59 @@
 			crashes, late := site.lateArrivals(text, crashesOfRequest, contactTime)
 			t.Logf("%d crashes, %d late arrivals, %d of %d sound requests served", crashes, late, traffic.served.Load(), traffic.sound.Load())
 			if crashes < crashesOfRequest || late > maxLateArrivals {
-				t.Fatalf("%d crashes, %d late arrivals, want at least %d and at most %d", crashes, late, crashesOfRequest, maxLateArrivals)
+				t.Errorf("%d crashes, %d late arrivals, want at least %d and at most %d", crashes, late, crashesOfRequest, maxLateArrivals)
+			}
+			traffic.requireSoundServed(t)
+		})
+	}
+}
+
+// Requests that share nothing with each other but one prompt part must stop reaching endpoints soon after they have crashed five
+// of them, and requests that share the caller and the other parts must be served.
+func TestGatewaysStopSendingRequestsWithPartThatCrashesEndpoints(t *testing.T) {
+	const part = "deadbeef"
+	cases := []struct {
+		name     string
+		gateways int
+		every    time.Duration
+		stage    crashStage
+		// prompt is the prompt of the n-th crashing request.
+		prompt func(n int) string
+	}{
+		{"one gateway, second of four", 1, 250 * time.Millisecond, crashAfterHead, func(n int) string {
+			return fmt.Sprintf("a1:50,%s:50,%x:50,%x:20", part, 0xd00+n%20, 0xe0000+n)
+		}},
+		{"eight gateways, second of four", 8, 250 * time.Millisecond, crashAfterHead, func(n int) string {
+			return fmt.Sprintf("a1:50,%s:50,%x:50,%x:20", part, 0xd00+n%20, 0xe0000+n)
+		}},
+		{"eight gateways, first of four, before the head", 8, 500 * time.Millisecond, crashBeforeHead, func(n int) string {
+			return fmt.Sprintf("%s:50,%x:50,%x:50,%x:20", part, 0xb00+n%5, 0xd00+n%20, 0xe0000+n)
+		}},
+		{"eight gateways, third of four, after the first event", 8, 500 * time.Millisecond, crashAfterFirstEvent, func(n int) string {
+			return fmt.Sprintf("a1:50,%x:50,%s:50,%x:20", 0xb00+n%5, part, 0xe0000+n)
+		}},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways, s.Engines, s.PlainEndpoints = x.gateways, 0, 0 })
+			site := newCrashSite(t, f, 16, x.stage, part)
+			waitForRetryBudget()
+			traffic := &crashTraffic{fleet: f, soundEvery: 40 * time.Millisecond, crashEvery: x.every, newCrasher: func(n int) *gatewayCall {
+				c := newGatewayCall(nil, http.MethodPost, editsPath).asStream()
+				c.body = fmt.Sprintf("body %d", n)
+				c.headers["Cardamompulley-Prompt-Prefix"] = x.prompt(n)
+
+				return c
+			}}
+			traffic.run(t.Context(), 16*time.Second)
+			crashes, late := site.lateArrivals(part, crashesOfPart, contactTime)
+			t.Logf("%d crashes, %d late arrivals, %d of %d sound requests served, late ones %d of %d", crashes, late,
+				traffic.served.Load(), traffic.sound.Load(), traffic.lateServed.Load(), traffic.lateSound.Load())
+			if crashes < crashesOfPart || late > maxLateArrivals {
+				t.Errorf("%d crashes, %d late arrivals, want at least %d and at most %d", crashes, late, crashesOfPart, maxLateArrivals)
 			}
+			traffic.requireSoundServed(t)
 		})
 	}
 }
