Requests with a prompt part that crashes endpoints are refused

Cause: crashes counted against whole requests only. Requests that are no two alike each counted one or two.

Change: a request has several suspects: itself, and each part of its prompt but the last, by model and id. A crash counts against all of them; five crashes quarantine a part (three a request). What tells the culprit from the parts beside it is the whole answer: it clears every part of its prompt, at all gateways, for a minute, and what crashes every endpoint that begins to answer it is never answered. A gateway that hears from few others tolerates its share of the five, two at least, since sound requests share parts.

The schedule of make prove draws requests and parts that crash, and sound requests that share two parts; the variant without whole answers breaks it.

--- a/experimenter/internal/prover/crash_simulation.go
+++ b/experimenter/internal/prover/crash_simulation.go
@@ -46,10 +46,9 @@
 	failures []timekeeper.Millis
 }
 
-// crasher is a request that crashes each endpoint that runs it and comes again and again at any gateway.
+// crasher is a request, or a prompt part, that crashes each endpoint that runs it and comes again and again at any gateway.
 type crasher struct {
-	suspects  []quarantiner.SuspectID
-	tolerated int
+	suspect   quarantiner.Suspect
 	interval  timekeeper.Millis
 	nextAt    timekeeper.Millis
 	crashes   []timekeeper.Millis
@@ -59,7 +58,7 @@
 // crashRun is a request that runs at an endpoint.
 type crashRun struct {
 	gateway  *crashGateway
-	suspects []quarantiner.SuspectID
+	suspects []quarantiner.Suspect
 	crasher  *crasher
 	endsAt   timekeeper.Millis
 }
@@ -120,11 +119,14 @@
 		s.endpoints = append(s.endpoints, s.startEndpoint())
 	}
 	for n := range 1 + c(2) {
+		suspect := quarantiner.Suspect{ID: quarantiner.SuspectID(1 + n), Kind: quarantiner.KindRequest}
+		if c.oneIn(2) {
+			suspect.Kind = quarantiner.KindPart
+		}
 		s.crashers = append(s.crashers, &crasher{
-			suspects:  []quarantiner.SuspectID{quarantiner.SuspectID(1 + n)},
-			tolerated: quarantiner.GatewayQuarantineThreshold,
-			interval:  100 + c.duration(1900),
-			nextAt:    s.now + timekeeper.Second,
+			suspect:  suspect,
+			interval: 100 + c.duration(1900),
+			nextAt:   s.now + timekeeper.Second,
 		})
 	}
 
@@ -225,28 +227,39 @@
 		}
 	}
 	for range s.choose(3) {
-		s.requests++
 		s.sound++
-		suspects := []quarantiner.SuspectID{quarantiner.SuspectID(1000 + s.requests)}
-		run := &crashRun{gateway: s.gateways[s.choose(len(s.gateways))], suspects: suspects, endsAt: s.now + 100 + s.choose.duration(1500)}
+		run := &crashRun{gateway: s.gateways[s.choose(len(s.gateways))], suspects: s.newSuspects(), endsAt: s.now + 100 + s.choose.duration(1500)}
 		if !s.start(run) {
 			s.refused++
 		}
 	}
 }
 
+// newSuspects returns the suspects of a new request: itself, a part that many requests share, and one that some share.
+func (s *crashSimulation) newSuspects() []quarantiner.Suspect {
+	s.requests++
+
+	return []quarantiner.Suspect{
+		{ID: quarantiner.SuspectID(10_000 + s.requests), Kind: quarantiner.KindRequest},
+		{ID: quarantiner.SuspectID(100 + s.choose(2)), Kind: quarantiner.KindPart},
+		{ID: quarantiner.SuspectID(200 + s.choose(40)), Kind: quarantiner.KindPart},
+	}
+}
+
 func (s *crashSimulation) sendCrasher(c *crasher) {
 	g := s.gateways[s.choose(len(s.gateways))]
-	if !s.start(&crashRun{gateway: g, suspects: c.suspects, crasher: c, endsAt: s.now + 20 + s.choose.duration(200)}) {
+	suspects := append(s.newSuspects(), c.suspect)
+	if !s.start(&crashRun{gateway: g, suspects: suspects, crasher: c, endsAt: s.now + 20 + s.choose.duration(200)}) {
 		return
 	}
 	isInTouch := s.now-g.startedAt >= crashContactTime
-	if !isInTouch || len(c.crashes) < c.tolerated || s.now <= c.crashes[c.tolerated-1]+crashContactTime {
+	tolerated := c.suspect.Threshold()
+	if !isInTouch || len(c.crashes) < tolerated || s.now <= c.crashes[tolerated-1]+crashContactTime {
 		return
 	}
 	if c.lateSends++; c.lateSends > maxLateSends {
 		s.recordViolation("what crashes endpoints stops reaching them",
-			"%d sends later than %d ms after crash %d, %d gateways", c.lateSends, crashContactTime, c.tolerated, len(s.gateways))
+			"%d sends of a %s later than %d ms after crash %d, %d gateways", c.lateSends, c.suspect.Kind, crashContactTime, tolerated, len(s.gateways))
 	}
 }
 
@@ -285,7 +298,7 @@
 
 func (r *crashRun) recordAnswer(now timekeeper.Millis) {
 	for _, suspect := range r.suspects {
-		r.gateway.tracker.Suspects.RecordAnswer(suspect, now)
+		r.gateway.tracker.Suspects.RecordAnswer(suspect.ID, now)
 	}
 }
 
--- a/experimenter/internal/prover/crash_simulation_test.go
+++ b/experimenter/internal/prover/crash_simulation_test.go
@@ -23,6 +23,7 @@
 	cases := map[string]CrashVariant{
 		"shares nothing":     {SharesNothing: true},
 		"ignores partitions": {IgnoresPartitions: true},
+		"forgets answers":    {ForgetsAnswers: true},
 	}
 	for name, variant := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/fleet/model/request_metadata.go
+++ b/fleet/model/request_metadata.go
@@ -29,6 +29,11 @@
 	LastEventID string
 }
 
+// PartsBeforeLast returns the parts of the prompt except the last, which belongs to the request alone.
+func (m *RequestMetadata) PartsBeforeLast() []PromptPart {
+	return m.Prompt[:max(len(m.Prompt)-1, 0)]
+}
+
 // SharedPrefix returns the parts of the prompt that other requests can share: all parts except the last. A prompt of one
 // part is returned whole.
 func (m *RequestMetadata) SharedPrefix() []PromptPart {
@@ -36,7 +41,7 @@
 		return m.Prompt
 	}
 
-	return m.Prompt[:len(m.Prompt)-1]
+	return m.PartsBeforeLast()
 }
 
 // SessionID returns the ID of the last part of the shared prefix, or zero if the request has no prompt.
--- a/fleet/quarantiner/crash_tracker.go
+++ b/fleet/quarantiner/crash_tracker.go
@@ -12,15 +12,12 @@
 	blameWindow = 2 * timekeeper.Second
 	// maxLostRequests limits the lost requests remembered for an endpoint.
 	maxLostRequests = 128
-	// GatewayQuarantineThreshold is the number of crashes after which a gateway refuses a request. It is higher than
-	// QuarantineThreshold because a gateway cannot run suspects in isolation.
-	GatewayQuarantineThreshold = 3
 	// partitionRetryAfter is when a request may come again that is refused only because other gateways are out of reach.
 	partitionRetryAfter = timekeeper.Second
 )
 
 type lostRequest struct {
-	suspects []SuspectID
+	suspects []Suspect
 	lostAt   timekeeper.Millis
 }
 
@@ -57,7 +54,7 @@
 // RecordLost records a request that has reached an endpoint and ended without a whole response; c identifies the crash that the
 // endpoint's process would end with. If the process has just crashed, that counts against the request's suspects. RecordLost
 // returns the suspects that the crash was counted against.
-func (t *CrashTracker) RecordLost(c CrashID, suspects []SuspectID, now timekeeper.Millis) []SuspectID {
+func (t *CrashTracker) RecordLost(c CrashID, suspects []Suspect, now timekeeper.Millis) []Suspect {
 	e := t.losses(c, now)
 	if e.hasCrashed {
 		return t.blame(c, suspects, now)
@@ -72,14 +69,14 @@
 
 // RecordCrash records that the process of an endpoint has ended, and counts that against the requests lost there within
 // blameWindow. It returns the suspects that the crash was counted against.
-func (t *CrashTracker) RecordCrash(c CrashID, now timekeeper.Millis) []SuspectID {
+func (t *CrashTracker) RecordCrash(c CrashID, now timekeeper.Millis) []Suspect {
 	e := t.losses(c, now)
 	if len(e.lost) == 0 {
 		return nil
 	}
 	e.crashedAt = now
 	e.hasCrashed = true
-	var blamed []SuspectID
+	var blamed []Suspect
 	for _, l := range e.lost {
 		blamed = append(blamed, t.blame(c, l.suspects, now)...)
 	}
@@ -89,8 +86,8 @@
 }
 
 // blame counts a crash against suspects and returns those that it was not counted against before.
-func (t *CrashTracker) blame(c CrashID, suspects []SuspectID, now timekeeper.Millis) []SuspectID {
-	return slices.DeleteFunc(slices.Clone(suspects), func(s SuspectID) bool { return !t.Suspects.Add(s, c, now) })
+func (t *CrashTracker) blame(c CrashID, suspects []Suspect, now timekeeper.Millis) []Suspect {
+	return slices.DeleteFunc(slices.Clone(suspects), func(s Suspect) bool { return !t.Suspects.Add(s.ID, c, now) })
 }
 
 // losses returns what was lost within blameWindow at the process that ends with a crash.
@@ -117,18 +114,18 @@
 	}
 }
 
-// IsQuarantined reports whether a suspect has crashed so many endpoints that the gateway refuses its requests, and after how
+// IsQuarantined reports whether a suspect has crashed so many endpoints that the gateway refuses requests with it, and after how
 // long a caller may come again. A gateway that hears from a share of the others only tolerates that share of the crashes,
 // because the others may have seen the rest.
-func (t *CrashTracker) IsQuarantined(s SuspectID, now timekeeper.Millis) (bool, timekeeper.Millis) {
-	crashes := t.Suspects.Crashes(s, now)
-	if crashes >= GatewayQuarantineThreshold {
-		return true, t.Suspects.ExpiresIn(s, now)
+func (t *CrashTracker) IsQuarantined(s Suspect, now timekeeper.Millis) (bool, timekeeper.Millis) {
+	crashes := t.Suspects.Crashes(s.ID, now)
+	if crashes >= s.Threshold() {
+		return true, t.Suspects.ExpiresIn(s.ID, now)
 	}
-	if crashes == 0 {
+	if crashes < s.minThreshold() {
 		return false, 0
 	}
-	tolerated := math.Ceil(GatewayQuarantineThreshold * t.Reach.Share(t.FleetSize(), now))
+	tolerated := math.Ceil(float64(s.Threshold()) * t.Reach.Share(t.FleetSize(), now))
 
 	return crashes >= int(tolerated), partitionRetryAfter
 }
--- a/fleet/quarantiner/crash_tracker_test.go
+++ b/fleet/quarantiner/crash_tracker_test.go
@@ -7,16 +7,16 @@
 )
 
 func TestGatewayRefusesRequestThatCrashedThreeEndpoints(t *testing.T) {
-	const culprit, innocent = SuspectID(1), SuspectID(2)
+	culprit, innocent := Suspect{1, KindRequest}, Suspect{2, KindRequest}
 	c := NewCrashTracker()
 	for n := range 3 {
 		crash, now := CrashID(n), timekeeper.Millis(n)*timekeeper.Second
 		if isQuarantined, _ := c.IsQuarantined(culprit, now); isQuarantined {
 			t.Fatalf("refused after %d crashes, want 3", n)
 		}
-		c.RecordLost(crash, []SuspectID{culprit}, now)
+		c.RecordLost(crash, []Suspect{culprit}, now)
 		if n == 0 {
-			c.RecordLost(crash, []SuspectID{innocent}, now)
+			c.RecordLost(crash, []Suspect{innocent}, now)
 		}
 		c.RecordCrash(crash, now+100)
 		c.RecordCrash(crash, now+200)
@@ -27,7 +27,7 @@
 	if isQuarantined, _ := c.IsQuarantined(innocent, 3000); isQuarantined {
 		t.Fatal("refused a request that was in flight at one crash only")
 	}
-	c.Suspects.RecordAnswer(culprit, 3000)
+	c.Suspects.RecordAnswer(culprit.ID, 3000)
 	if isQuarantined, _ := c.IsQuarantined(culprit, 3000); isQuarantined {
 		t.Fatal("refused after it was answered in whole")
 	}
@@ -35,7 +35,7 @@
 
 func TestLostRequestsAreNotBlamedForLaterCrashes(t *testing.T) {
 	c := NewCrashTracker()
-	c.RecordLost(1, []SuspectID{1}, 0)
+	c.RecordLost(1, []Suspect{{1, KindRequest}}, 0)
 	c.RecordCrash(1, blameWindow+1)
 	if n := c.Suspects.Crashes(1, blameWindow+1); n != 0 {
 		t.Fatalf("%d crashes counted against a request lost before the blame window, want 0", n)
@@ -45,11 +45,11 @@
 // A request that is recorded just after the crash is blamed, too, and each request once for each crash.
 func TestCrashCountsOnceAgainstEachLostRequest(t *testing.T) {
 	c := NewCrashTracker()
-	c.RecordLost(1, []SuspectID{1}, 0)
-	c.RecordLost(1, []SuspectID{1}, 0)
+	c.RecordLost(1, []Suspect{{1, KindRequest}}, 0)
+	c.RecordLost(1, []Suspect{{1, KindRequest}}, 0)
 	c.RecordCrash(1, 10)
-	c.RecordLost(1, []SuspectID{1}, 20)
-	c.RecordLost(1, []SuspectID{2}, 20)
+	c.RecordLost(1, []Suspect{{1, KindRequest}}, 20)
+	c.RecordLost(1, []Suspect{{2, KindRequest}}, 20)
 	c.RecordCrash(1, 30)
 	for _, s := range []SuspectID{1, 2} {
 		if n := c.Suspects.Crashes(s, 40); n != 1 {
@@ -71,48 +71,48 @@
 }
 
 func TestCrashesSeenByDifferentGatewaysAddUp(t *testing.T) {
-	const culprit = SuspectID(1)
-	trackers := make([]*CrashTracker, GatewayQuarantineThreshold)
+	culprit := Suspect{1, KindRequest}
+	trackers := make([]*CrashTracker, requestThreshold)
 	for n := range trackers {
 		trackers[n] = NewCrashTracker()
-		trackers[n].RecordLost(CrashID(n), []SuspectID{culprit}, 0)
+		trackers[n].RecordLost(CrashID(n), []Suspect{culprit}, 0)
 		trackers[n].RecordCrash(CrashID(n), 100)
 	}
 	shareAll(trackers, 200)
 	for n, tracker := range trackers {
 		if isQuarantined, _ := tracker.IsQuarantined(culprit, 300); !isQuarantined {
-			t.Errorf("gateway %d counts %d crashes of %d", n, tracker.Suspects.Crashes(culprit, 300), len(trackers))
+			t.Errorf("gateway %d counts %d crashes of %d", n, tracker.Suspects.Crashes(culprit.ID, 300), len(trackers))
 		}
 	}
 }
 
 func TestCrashSeenByManyGatewaysCountsOnce(t *testing.T) {
-	const suspect = SuspectID(1)
-	trackers := make([]*CrashTracker, 2*GatewayQuarantineThreshold)
+	suspect := Suspect{1, KindRequest}
+	trackers := make([]*CrashTracker, 2*requestThreshold)
 	for n := range trackers {
 		trackers[n] = NewCrashTracker()
-		trackers[n].RecordLost(7, []SuspectID{suspect}, 0)
+		trackers[n].RecordLost(7, []Suspect{suspect}, 0)
 		trackers[n].RecordCrash(7, 100)
 	}
 	for range 3 {
 		shareAll(trackers, 200)
 	}
 	for n, tracker := range trackers {
-		if crashes := tracker.Suspects.Crashes(suspect, 300); crashes != 1 {
+		if crashes := tracker.Suspects.Crashes(suspect.ID, 300); crashes != 1 {
 			t.Errorf("gateway %d counts %d crashes, want 1", n, crashes)
 		}
 	}
 }
 
 func TestServedRequestIsClearedAtAllGateways(t *testing.T) {
-	const suspect = SuspectID(1)
+	suspect := Suspect{1, KindRequest}
 	trackers := []*CrashTracker{NewCrashTracker(), NewCrashTracker(), NewCrashTracker()}
 	for n, tracker := range trackers {
-		tracker.RecordLost(CrashID(n), []SuspectID{suspect}, 0)
+		tracker.RecordLost(CrashID(n), []Suspect{suspect}, 0)
 		tracker.RecordCrash(CrashID(n), 100)
 	}
 	shareAll(trackers, 200)
-	trackers[1].Suspects.RecordAnswer(suspect, 300)
+	trackers[1].Suspects.RecordAnswer(suspect.ID, 300)
 	shareAll(trackers, 400)
 	shareAll(trackers, 500)
 	for n, tracker := range trackers {
@@ -121,3 +121,30 @@
 		}
 	}
 }
+
+// A part that crashes endpoints is refused after five crashes. What stands beside it is not: the requests are no two alike, and
+// the other parts are answered in other requests.
+func TestGatewayRefusesPartThatCrashedFiveEndpoints(t *testing.T) {
+	culprit, shared := NewPartSuspect("m", 1), NewPartSuspect("m", 2)
+	c := NewCrashTracker()
+	for n := range partThreshold {
+		now := timekeeper.Millis(n) * timekeeper.Second
+		if isQuarantined, _ := c.IsQuarantined(culprit, now); isQuarantined {
+			t.Fatalf("refused after %d crashes, want %d", n, partThreshold)
+		}
+		request := NewRequestSuspect("POST", "h", "/", "account", []byte{byte(n)})
+		c.RecordLost(CrashID(n), []Suspect{request, culprit, shared}, now)
+		c.RecordCrash(CrashID(n), now)
+		c.Suspects.RecordAnswer(shared.ID, now)
+	}
+	now := partThreshold * timekeeper.Second
+	if isQuarantined, retryAfter := c.IsQuarantined(culprit, now); !isQuarantined || retryAfter <= 0 {
+		t.Fatalf("refused = %v for %d ms, want a refusal after %d crashes", isQuarantined, retryAfter, partThreshold)
+	}
+	if isQuarantined, _ := c.IsQuarantined(shared, now); isQuarantined {
+		t.Fatal("refused a part that is answered in other requests")
+	}
+	if isQuarantined, _ := c.IsQuarantined(NewPartSuspect("other", 1), now); isQuarantined {
+		t.Fatal("refused the part for another model")
+	}
+}
--- a/fleet/quarantiner/reach_test.go
+++ b/fleet/quarantiner/reach_test.go
@@ -39,15 +39,15 @@
 
 // A gateway that hears from no other must not tolerate as many crashes as the whole fleet.
 func TestGatewayCutOffRefusesRequestAfterOneCrash(t *testing.T) {
-	const culprit = SuspectID(1)
+	culprit := Suspect{1, KindRequest}
 	c := NewCrashTracker()
 	c.FleetSize = func() int { return 4 }
 	c.Reach.RecordExchange(true, 0)
-	c.Suspects.Add(culprit, 1, 0)
+	c.Suspects.Add(culprit.ID, 1, 0)
 	if isQuarantined, _ := c.IsQuarantined(culprit, 0); isQuarantined {
 		t.Fatal("refused after one crash although the gateway hears from all others")
 	}
-	if isQuarantined, _ := c.IsQuarantined(2, 2*reachWindow); isQuarantined {
+	if isQuarantined, _ := c.IsQuarantined(Suspect{2, KindRequest}, 2*reachWindow); isQuarantined {
 		t.Fatal("refused a request that has crashed nothing")
 	}
 	isQuarantined, retryAfter := c.IsQuarantined(culprit, 2*reachWindow)
--- a/fleet/quarantiner/suspect_table.go
+++ b/fleet/quarantiner/suspect_table.go
@@ -2,13 +2,9 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
-	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -26,22 +22,6 @@
 	relayCost = timekeeper.Second
 )
 
-// SuspectID is the hash of something that may crash endpoints.
-type SuspectID uint64
-
-// CrashID identifies a crash for all gateways, whichever of them see it.
-type CrashID uint32
-
-// NewCrashID returns the ID of the crash that ends an endpoint's process, which has started at startedAt.
-func NewCrashID(id model.EndpointID, startedAt timekeeper.Millis) CrashID {
-	digest := xxhash.New()
-	// Writing to a hash never returns an error.
-	_, _ = digest.WriteString(string(id))
-	_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, uint64(startedAt)))
-
-	return CrashID(digest.Sum64())
-}
-
 // Suspicion is what a gateway tells others of a suspect: the crashes counted against it, and how long they count. Without
 // crashes it tells that the suspect was answered in whole, and how long it is trusted for that.
 type Suspicion struct {
--- a/router/internal/forwarder/crash.go
+++ b/router/internal/forwarder/crash.go
@@ -56,7 +56,7 @@
 }
 
 // recordLostRequest records a request that ended without a whole response; if the endpoint has crashed, it is a suspect.
-func (f *Forwarder) recordLostRequest(e *cataloguer.Endpoint, suspects []quarantiner.SuspectID) {
+func (f *Forwarder) recordLostRequest(e *cataloguer.Endpoint, suspects []quarantiner.Suspect) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	blamed := f.crashTracker.RecordLost(crashID(e), suspects, f.clock.Now())
@@ -75,39 +75,40 @@
 }
 
 // logBlamed logs the suspects that a crash was counted against. f.mu must be held.
-func (f *Forwarder) logBlamed(id model.EndpointID, blamed []quarantiner.SuspectID) {
+func (f *Forwarder) logBlamed(id model.EndpointID, blamed []quarantiner.Suspect) {
 	for _, s := range blamed {
-		crashes := f.crashTracker.Suspects.Crashes(s, f.clock.Now())
+		crashes := f.crashTracker.Suspects.Crashes(s.ID, f.clock.Now())
 		event := logger.EventRequestSuspected
-		if crashes >= quarantiner.GatewayQuarantineThreshold {
+		if crashes >= s.Threshold() {
 			event = logger.EventRequestQuarantined
 		}
-		f.log.Write(event, logger.String("endpoint", id), logger.Hex("suspect", uint64(s)), logger.Int("crashes", crashes))
+		f.log.Write(event, logger.String("endpoint", id), logger.String("kind", s.Kind),
+			logger.Hex("suspect", uint64(s.ID)), logger.Int("crashes", crashes))
 	}
 }
 
-// quarantinedFor returns how long a request is still refused because one of its suspects has crashed too many endpoints, zero
-// if none has.
-func (f *Forwarder) quarantinedFor(suspects []quarantiner.SuspectID) timekeeper.Millis {
+// quarantinedSuspect returns the first of a request's suspects that has crashed too many endpoints, and after how long the
+// caller may come again. It returns false if none has.
+func (f *Forwarder) quarantinedSuspect(suspects []quarantiner.Suspect) (quarantiner.Suspect, timekeeper.Millis, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	longest := timekeeper.Millis(0)
 	for _, s := range suspects {
-		if isQuarantined, remaining := f.crashTracker.IsQuarantined(s, f.clock.Now()); isQuarantined {
-			longest = max(longest, remaining)
+		if isQuarantined, retryAfter := f.crashTracker.IsQuarantined(s, f.clock.Now()); isQuarantined {
+			return s, retryAfter, true
 		}
 	}
 
-	return longest
+	return quarantiner.Suspect{}, 0, false
 }
 
 // clearSuspects clears the suspects of a request that an endpoint has answered in whole.
-func (f *Forwarder) clearSuspects(suspects []quarantiner.SuspectID) {
+func (f *Forwarder) clearSuspects(suspects []quarantiner.Suspect) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range suspects {
-		if crashes := f.crashTracker.Suspects.RecordAnswer(s, f.clock.Now()); crashes > 0 {
-			f.log.Write(logger.EventSuspectCleared, logger.Hex("suspect", uint64(s)), logger.Int("crashes", crashes))
+		if crashes := f.crashTracker.Suspects.RecordAnswer(s.ID, f.clock.Now()); crashes > 0 {
+			f.log.Write(logger.EventSuspectCleared, logger.String("kind", s.Kind),
+				logger.Hex("suspect", uint64(s.ID)), logger.Int("crashes", crashes))
 		}
 	}
 }
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -58,21 +58,21 @@
 
 func (p *proxiedRequest) logFailedAttempt(failure *dispatcher.Failure) {
 	p.forwarder.log.Write(logger.EventAttemptFailed, append(p.logFields(),
-		logger.Hex("suspect", uint64(p.suspects[0])), logger.String("parts", p.sharedPartIDs()),
+		logger.Hex("suspect", uint64(p.suspects[0].ID)), logger.String("parts", p.sharedPartIDs()),
 		logger.Err(failure.Err), logger.Bool("may-have-run", failure.MayHaveRun))...)
 }
 
 // sharedPartIDs returns the IDs of the prompt parts that other requests can share, in hexadecimal and separated by commas.
 func (p *proxiedRequest) sharedPartIDs() string {
 	var ids []string
-	for _, part := range p.metadata.SharedPrefix() {
+	for _, part := range p.metadata.PartsBeforeLast() {
 		ids = append(ids, strconv.FormatUint(part.ID, 16))
 	}
 
 	return strings.Join(ids, ",")
 }
 
-// recordServed counts and logs a response that was relayed in full. A success also clears the request's crash records.
+// recordServed counts and logs a response that was relayed in full. A success also clears the request's suspects.
 func (p *proxiedRequest) recordServed(status int) {
 	requestsServed.Inc()
 	if status < 300 {
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -64,7 +64,7 @@
 	// finishPrefill releases the requests that wait for this request's prefill.
 	finishPrefill func()
 	// suspects is what is blamed if an endpoint crashes on the request.
-	suspects []quarantiner.SuspectID
+	suspects []quarantiner.Suspect
 }
 
 func newProxiedRequest(f *Forwarder, w http.ResponseWriter, r *http.Request) *proxiedRequest {
@@ -99,32 +99,36 @@
 		return refusal
 	}
 
-	p.suspects = []quarantiner.SuspectID{p.fingerprint()}
+	p.suspects = p.findSuspects()
 
 	return p.checkQuarantine()
 }
 
-// checkQuarantine refuses a request if something in it has crashed the endpoints that ran it.
-func (p *proxiedRequest) checkQuarantine() *model.Refusal {
-	retryAfter := p.forwarder.quarantinedFor(p.suspects)
-	if retryAfter <= 0 {
-		return nil
+// findSuspects returns what may crash an endpoint in the request: the request as a whole, and each part of its prompt that other
+// requests can share.
+func (p *proxiedRequest) findSuspects() []quarantiner.Suspect {
+	suspects := []quarantiner.Suspect{
+		quarantiner.NewRequestSuspect(p.request.Method, p.request.Host, p.request.RequestURI, p.account.ID, p.body),
+	}
+	for _, part := range p.metadata.PartsBeforeLast() {
+		suspects = append(suspects, quarantiner.NewPartSuspect(p.metadata.Model, part.ID))
 	}
 
-	return model.NewRefusal(model.CodeRequestQuarantined, "the request has crashed the endpoints that ran it").WithRetryAfter(retryAfter)
+	return suspects
 }
 
-// fingerprint returns a suspect that is the same each time a caller sends the same request.
-func (p *proxiedRequest) fingerprint() quarantiner.SuspectID {
-	digest := xxhash.New()
-	for _, part := range []string{p.request.Method, p.request.Host, p.request.RequestURI, string(p.account.ID)} {
-		// Writing to a hash never returns an error.
-		_, _ = digest.WriteString(part)
-		_, _ = digest.Write([]byte{0})
+// checkQuarantine refuses a request if something in it has crashed the endpoints that ran it.
+func (p *proxiedRequest) checkQuarantine() *model.Refusal {
+	suspect, retryAfter, isQuarantined := p.forwarder.quarantinedSuspect(p.suspects)
+	if !isQuarantined {
+		return nil
+	}
+	detail := "the request has crashed the endpoints that ran it"
+	if suspect.Kind == quarantiner.KindPart {
+		detail = "requests with a part of this prompt have crashed the endpoints that ran them"
 	}
-	_, _ = digest.Write(p.body)
 
-	return quarantiner.SuspectID(digest.Sum64())
+	return model.NewRefusal(model.CodeRequestQuarantined, detail).WithRetryAfter(retryAfter)
 }
 
 // setDeadline sets the request's deadline to the caller's timeout or the route's, whichever is shorter.
