An answer that ends with its connection proves nothing until its endpoint has turned out to be alive

What callers would see: an endpoint that crashes before the first event of a stream without length or chunks gave a complete answer without content (200); after the first event, the part that came looked like the whole, and cleared the request that had crashed it.

Cause: the end of the connection was taken for the end of the answer, and every answered request for a sound one.

Evidence: three new endings of TestCrashIsCountedWithoutAnotherRequest and TestUnframedStreamWithoutEventsDoesNotLookComplete failed (no crash counted; status 200, want 502).

Change: such an answer counts as lost until a check has shown that the endpoint is alive; only then it clears its suspects (TestUnframedAnswerOfLiveEndpointClearsRequest). A stream without a single event has broken off. A check is repeated if another request was lost at the endpoint meanwhile.

--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -34,6 +34,14 @@
 	status int
 	header http.Header
 	body   []byte
+	// isFramed is true if the end of the response shows that it is whole.
+	isFramed bool
+}
+
+// isFramed reports whether a response has a length or chunks, so that its end shows whether it is whole. Any other response ends
+// with its connection, as it also does when its endpoint crashes.
+func isFramed(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
 // sendToEndpoint sends the request to the chosen endpoint and relays the response. It returns nil if the request was served.
@@ -140,10 +148,12 @@
 	if !isComplete {
 		return p.relayLarge(conn, response, prefix)
 	}
-	p.isAnswered = true
+	p.isAnswered = isFramed(response)
 	p.releaseConn(conn, response)
 	p.forwarder.recordBreakerResult(p.choice.Endpoint.ID, true)
-	buffered := &bufferedResponse{status: response.StatusCode, header: endToEndHeaders(response.Header), body: prefix}
+	buffered := &bufferedResponse{
+		status: response.StatusCode, header: endToEndHeaders(response.Header), body: prefix, isFramed: isFramed(response),
+	}
 	if buffered.status >= http.StatusInternalServerError || impliesNotRun(buffered.status) {
 		p.errorResponse = buffered
 		p.recordErrorResponse()
@@ -165,7 +175,7 @@
 			p.abortDisconnected()
 		}
 	}
-	p.recordServed(b.status)
+	p.recordServed(b.status, b.isFramed)
 }
 
 // writeHeader writes the response head. A negative length leaves Content-Length out.
@@ -202,11 +212,11 @@
 		conn.Close()
 		p.abortResponse(err)
 	}
-	p.isAnswered = true
+	p.isAnswered = isFramed(response)
 	p.releaseConn(conn, response)
 	p.forwarder.recordBreakerResult(p.choice.Endpoint.ID, true)
 	p.recordResult(false)
-	p.recordServed(response.StatusCode)
+	p.recordServed(response.StatusCode, isFramed(response))
 
 	return nil
 }
--- a/router/internal/forwarder/crash.go
+++ b/router/internal/forwarder/crash.go
@@ -20,26 +20,67 @@
 		return
 	}
 	p.forwarder.recordLostRequest(p.choice.Endpoint, p.suspects)
-	if p.ctx.Err() == nil {
-		p.forwarder.checkForCrash(p.choice.Endpoint)
+	if p.ctx.Err() != nil {
+		return
+	}
+	if p.isServedUnframed {
+		go p.forwarder.clearIfAlive(p.choice.Endpoint, p.suspects)
+	} else if p.forwarder.startCrashCheck(p.choice.Endpoint.ID) {
+		go p.forwarder.checkForCrash(p.choice.Endpoint)
 	}
 }
 
-// checkForCrash finds out in the background whether an endpoint has crashed. One check runs for an endpoint at a time.
-func (f *Forwarder) checkForCrash(e *cataloguer.Endpoint) {
+// crashCheck is a running check of an endpoint.
+type crashCheck struct {
+	// isOutdated is true if another request was lost since the check has begun.
+	isOutdated bool
+}
+
+// startCrashCheck reports whether a check of an endpoint has to be started. A check that is running is repeated at its end.
+func (f *Forwarder) startCrashCheck(id model.EndpointID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.crashChecks[e.ID] {
-		return
+	if check, ok := f.crashChecks[id]; ok {
+		check.isOutdated = true
+
+		return false
+	}
+	f.crashChecks[id] = &crashCheck{}
+
+	return true
+}
+
+// finishCrashCheck ends a check, or returns false if it has to be repeated.
+func (f *Forwarder) finishCrashCheck(id model.EndpointID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.crashChecks[id].isOutdated {
+		f.crashChecks[id].isOutdated = false
+
+		return false
+	}
+	delete(f.crashChecks, id)
+
+	return true
+}
+
+// checkForCrash finds out whether an endpoint has crashed.
+func (f *Forwarder) checkForCrash(e *cataloguer.Endpoint) {
+	for {
+		f.RecordDialError(e, f.pool.CheckAlive(context.Background(), e.ID, e.Address))
+		if f.finishCrashCheck(e.ID) {
+			return
+		}
+	}
+}
+
+// clearIfAlive clears suspects that an endpoint has answered, unless the endpoint has crashed at the end of the answer.
+func (f *Forwarder) clearIfAlive(e *cataloguer.Endpoint, suspects []quarantiner.Suspect) {
+	err := f.pool.CheckAlive(context.Background(), e.ID, e.Address)
+	f.RecordDialError(e, err)
+	if err == nil {
+		f.clearSuspects(suspects)
 	}
-	f.crashChecks[e.ID] = true
-	go func() {
-		err := f.pool.CheckAlive(context.Background(), e.ID, e.Address)
-		f.RecordDialError(e, err)
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		delete(f.crashChecks, e.ID)
-	}()
 }
 
 // RecordDialError records the crash that an error of connecting to an endpoint shows. A timeout shows none, because the
--- a/router/internal/forwarder/crash_test.go
+++ b/router/internal/forwarder/crash_test.go
@@ -23,7 +23,10 @@
 const (
 	unsizedHead = "HTTP/1.1 200 OK\r\nCardamompulley-Attempt-Id: a\r\nCardamompulley-Response-Signature: s\r\n"
 	streamHead  = unsizedHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-	firstChunk  = "d\r\nid: 1\ndata\n\n\r\n"
+	firstEvent  = "id: 1\ndata\n\n"
+	firstChunk  = "d\r\n" + firstEvent + "\r\n"
+	// An unframed response has neither a length nor chunks and ends with its connection.
+	unframedStreamHead = unsizedHead + "Content-Type: text/event-stream\r\n\r\n"
 )
 
 // crashingEndpoint accepts connections, sends the start of a response to each request and then closes its listener and all
@@ -114,6 +117,9 @@
 		{"in a large body", unsizedHead + "Content-Length: 200000\r\n\r\n" + strings.Repeat("0", 100_000)},
 		{"after the head of a stream", streamHead},
 		{"after the first event of a stream", streamHead + firstChunk},
+		{"after the head of an unframed stream", unframedStreamHead},
+		{"after the first event of an unframed stream", unframedStreamHead + firstEvent},
+		{"in an unframed body", unsizedHead + "\r\nshort"},
 	}
 	for _, x := range cases {
 		t.Run(x.name, func(t *testing.T) {
@@ -224,3 +230,54 @@
 
 	return cataloguer.NewView(c, nil, endpoints, 1, f.clock.Now())
 }
+
+// A stream without a single event has broken off, even if it could have ended with its connection.
+func TestUnframedStreamWithoutEventsDoesNotLookComplete(t *testing.T) {
+	e := newCrashingEndpoint(t, unframedStreamHead)
+	f := newTestForwarder(e.listener.Addr().String())
+	w := httptest.NewRecorder()
+	<-serveInBackground(f, w, t.Context())
+	if w.Code != http.StatusBadGateway {
+		t.Fatalf("status %d, want 502", w.Code)
+	}
+}
+
+// An unframed answer clears its request only once its endpoint has turned out to be alive.
+func TestUnframedAnswerOfLiveEndpointClearsRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, unframedStreamHead+firstEvent)
+					_ = conn.Close()
+				}
+			}()
+		}
+	}()
+	f := newTestForwarder(l.Addr().String())
+	suspect := quarantiner.NewRequestSuspect(http.MethodGet, "a", "http://a/", "", nil)
+	f.MergeSuspects("other", []quarantiner.Suspicion{{Suspect: suspect.ID, Crashes: []quarantiner.CrashID{1}, ExpiresIn: timekeeper.Minute}})
+	if crashesCounted(f) != 1 {
+		t.Fatal("the crash is not counted")
+	}
+	w := httptest.NewRecorder()
+	<-serveInBackground(f, w, t.Context())
+	if w.Code != http.StatusOK || w.Body.String() != firstEvent {
+		t.Fatalf("status %d, body %q", w.Code, w.Body)
+	}
+	for deadline := time.Now().Add(time.Second); crashesCounted(f) > 0; {
+		if time.Now().After(deadline) {
+			t.Fatal("the request is not cleared")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -50,8 +50,8 @@
 	balancer     *balancer.Balancer
 	retryBudget  *budgeter.RetryBudget
 	crashTracker *quarantiner.CrashTracker
-	// crashChecks holds the endpoints that are being checked for a crash.
-	crashChecks map[model.EndpointID]bool
+	// crashChecks holds the running checks for crashes by endpoint.
+	crashChecks map[model.EndpointID]*crashCheck
 }
 
 // NewForwarder returns a forwarder that sends requests over the connections of a pool. Its exported fields
@@ -72,7 +72,7 @@
 		balancer:       b,
 		retryBudget:    r,
 		crashTracker:   crashTracker,
-		crashChecks:    map[model.EndpointID]bool{},
+		crashChecks:    map[model.EndpointID]*crashCheck{},
 	}
 }
 
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -72,12 +72,14 @@
 	return strings.Join(ids, ",")
 }
 
-// recordServed counts and logs a response that was relayed in full. A success also clears the request's suspects.
-func (p *proxiedRequest) recordServed(status int) {
+// recordServed counts and logs a response that was relayed to its end. A success clears the request's suspects, but an unframed
+// one only once the endpoint has turned out to be alive.
+func (p *proxiedRequest) recordServed(status int, isFramed bool) {
 	requestsServed.Inc()
-	if status < 300 {
+	if status < 300 && isFramed {
 		p.forwarder.clearSuspects(p.suspects)
 	}
+	p.isServedUnframed = status < 300 && !isFramed
 	requestSeconds.Update(float64(p.forwarder.clock.Now()-p.arrivedAt) / 1000)
 	p.forwarder.log.Write(logger.EventRequestServed, append(p.logFields(), logger.Int("status", status))...)
 }
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -55,8 +55,10 @@
 	// a whole response, or has stated that it did not run the request.
 	hasReached bool
 	isAnswered bool
-	choice     balancer.Choice
-	stream     streamState
+	// isServedUnframed is true once a success has been relayed whose end does not show that it is whole.
+	isServedUnframed bool
+	choice           balancer.Choice
+	stream           streamState
 	// errorEndpoints are the endpoints that have responded with an error status.
 	errorEndpoints []model.EndpointID
 	// errorResponse is the error response of the last attempt, nil if it had none. It is relayed if no attempt follows.
@@ -193,7 +195,7 @@
 func (p *proxiedRequest) sendAttempt() *dispatcher.Failure {
 	defer p.forwarder.recordFinish(p.choice.Endpoint.ID)
 	p.errorResponse = nil
-	p.hasReached, p.isAnswered = false, false
+	p.hasReached, p.isAnswered, p.isServedUnframed = false, false, false
 	defer p.recordUnanswered()
 	p.coordinatePrefill()
 	defer func() { p.finishPrefill() }()
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -121,19 +121,21 @@
 	p.writeHeader(response.StatusCode, endToEndHeaders(response.Header), -1)
 }
 
-// finishStream handles the end of the endpoint's response. If it ends with an incomplete event, the stream has broken off.
+// finishStream handles the end of the endpoint's response. If it ends with an incomplete event, or with its connection and
+// without any event, the stream has broken off.
 func (p *proxiedRequest) finishStream(conn *connector.Conn, response *http.Response) *dispatcher.Failure {
-	if len(p.stream.pending) > 0 {
+	isEmpty := !isFramed(response) && !p.stream.hasStarted
+	if len(p.stream.pending) > 0 || isEmpty {
 		return p.failStream(conn, errResponseTruncated)
 	}
-	p.isAnswered = true
+	p.isAnswered = isFramed(response)
 	p.releaseConn(conn, response)
 	p.forwarder.recordBreakerResult(p.choice.Endpoint.ID, true)
 	p.recordResult(false)
 	if !p.stream.hasStarted {
 		p.startStream(response)
 	}
-	p.recordServed(response.StatusCode)
+	p.recordServed(response.StatusCode, isFramed(response))
 
 	return nil
 }
