Sidecars add up the crashes that they have seen, too: one table of suspects for both interfaces

What callers would see on the own interface: a request that reaches two endpoints at about the same time crashes both, and a third.

Cause: the same as at the gateways: counts, of which the larger was kept, and a success that cleared one sidecar only.

Evidence: TestCrashesSeenByDifferentSidecarsAddUp failed (decision run after crashes at two sidecars, want condemned).

Change: Registry goes; sidecars, routers and gateways use SuspectTable. Exchange, notices, requests and refusals carry the encoded set of crashes in place of a count, in new fields; the old ones are reserved, so that processes of before and after the change share no crashes. TestRegistryStaysBounded went with its type; TestSuspectTableStaysBounded checks the same of the table. The refusal's test now compares with the table's own remaining time.

--- a/fleet/follower/follower.go
+++ b/fleet/follower/follower.go
@@ -59,13 +59,13 @@
 	exchangeNow chan struct{}
 	done        chan struct{}
 
-	mu         sync.Mutex
-	acceptor   *configurator.Acceptor
-	loadTable  *exchanger.Table
-	quarantine *quarantiner.Registry
-	groups     *placer.Groups
-	budget     *exchanger.ByteBudget
-	vms        []model.VM
+	mu        sync.Mutex
+	acceptor  *configurator.Acceptor
+	loadTable *exchanger.Table
+	suspects  *quarantiner.SuspectTable
+	groups    *placer.Groups
+	budget    *exchanger.ByteBudget
+	vms       []model.VM
 	// countedBytes is the part of ControlTraffic that has been charged to the budget.
 	countedBytes int64
 }
@@ -86,7 +86,7 @@
 		done:         make(chan struct{}),
 		acceptor:     configurator.NewAcceptor(filter, now),
 		loadTable:    exchanger.NewTable(),
-		quarantine:   quarantiner.NewRegistry(),
+		suspects:     quarantiner.NewSuspectTable(),
 		groups:       placer.NewGroups(),
 		budget:       exchanger.NewByteBudget(s.ControlBytesPerSecond, budgetBurstSeconds*s.ControlBytesPerSecond, now),
 	}
@@ -129,17 +129,17 @@
 
 // View is a process's view of the fleet. All its parts belong to the same configuration.
 type View struct {
-	Snapshot   *configurator.Snapshot
-	LoadTable  *exchanger.Table
-	Quarantine *quarantiner.Registry
-	Groups     *placer.Groups
+	Snapshot  *configurator.Snapshot
+	LoadTable *exchanger.Table
+	Suspects  *quarantiner.SuspectTable
+	Groups    *placer.Groups
 }
 
 // WithView calls use with the view while holding the follower's lock. The function must be short and not call the follower.
 func (f *Follower) WithView(use func(View)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	use(View{Snapshot: f.snapshot.Load(), LoadTable: f.loadTable, Quarantine: f.quarantine, Groups: f.groups})
+	use(View{Snapshot: f.snapshot.Load(), LoadTable: f.loadTable, Suspects: f.suspects, Groups: f.groups})
 }
 
 // IsVMDraining reports whether the VM list shows this process's VM as draining.
--- a/fleet/follower/peer.go
+++ b/fleet/follower/peer.go
@@ -15,7 +15,6 @@
 	"cardamompulley/fleet/messenger/messengerconnect"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/quarantiner"
-	"cardamompulley/fleet/timekeeper"
 )
 
 const (
@@ -23,6 +22,8 @@
 	MaxPeerAttempts = 3
 
 	compressMinBytes = 512
+	// maxSuspectBytes is the maximum size of the suspects in one message.
+	maxSuspectBytes = 480
 )
 
 // ErrNotAdmitted is returned to a caller whose token does not belong to a process with a permitted role, and to every caller
@@ -103,7 +104,10 @@
 // exchangeRequest returns this process's view as a message. The caller must hold f.mu.
 func (f *Follower) exchangeRequest() *messenger.ExchangeRequest {
 	now := f.Clock.Now()
-	request := &messenger.ExchangeRequest{Process: f.self.ID, Condemned: EncodeCrashRecords(f.quarantine.RecordsToShare(now))}
+	request := &messenger.ExchangeRequest{
+		Process:  f.self.ID,
+		Suspects: quarantiner.EncodeSuspicions(f.suspects.Share(maxSuspectBytes, now)),
+	}
 	if current := f.acceptor.Current(); current != nil {
 		request.ConfigurationVersion = uint64(current.Version)
 		request.ConfigurationHash = current.Hash
@@ -118,7 +122,7 @@
 	GetConfigurationVersion() uint64
 	GetConfigurationHash() uint64
 	GetVector() []byte
-	GetCondemned() []*messenger.Condemned
+	GetSuspects() []byte
 }
 
 // mergePeerState merges a peer's view into this one and reports whether the peer's configuration should be fetched.
@@ -126,9 +130,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	for _, c := range m.GetCondemned() {
-		f.quarantine.Merge(DecodeCrashRecord(c), now)
-	}
+	f.suspects.MergeEncoded(m.GetSuspects(), now)
 	shouldFetch, verdict := f.acceptor.ShouldFetch(model.Version(m.GetConfigurationVersion()), m.GetConfigurationHash())
 	if verdict == configurator.VerdictConflict {
 		f.Log.Write(logger.EventConfigConflict, logger.Int("version", m.GetConfigurationVersion()))
@@ -165,29 +167,6 @@
 	}
 }
 
-// EncodeCrashRecords converts crash records to messages. Peer messages call a crash record Condemned.
-func EncodeCrashRecords(records []quarantiner.CrashRecord) []*messenger.Condemned {
-	converted := make([]*messenger.Condemned, 0, len(records))
-	for _, r := range records {
-		converted = append(converted, &messenger.Condemned{
-			Fingerprint: uint64(r.Fingerprint),
-			Crashes:     uint32(r.Crashes),
-			ExpiresInMs: uint32(r.ExpiresIn),
-		})
-	}
-
-	return converted
-}
-
-// DecodeCrashRecord converts a message to a crash record.
-func DecodeCrashRecord(c *messenger.Condemned) quarantiner.CrashRecord {
-	return quarantiner.CrashRecord{
-		Fingerprint: model.Fingerprint(c.Fingerprint),
-		Crashes:     int(c.Crashes),
-		ExpiresIn:   timekeeper.Millis(c.ExpiresInMs),
-	}
-}
-
 // peerHandler implements the Peer service, which other processes call.
 type peerHandler struct {
 	f *Follower
@@ -230,7 +209,7 @@
 		ConfigurationVersion: own.ConfigurationVersion,
 		ConfigurationHash:    own.ConfigurationHash,
 		Vector:               own.Vector,
-		Condemned:            own.Condemned,
+		Suspects:             own.Suspects,
 	}, nil
 }
 
--- a/fleet/quarantiner/encoding.go
+++ b/fleet/quarantiner/encoding.go
@@ -15,7 +15,7 @@
 	suspicionHeaderBytes = suspectIDBytes + lifetimeBytes + 1
 )
 
-// EncodeSuspicions encodes suspicions for another gateway. All numbers are little-endian.
+// EncodeSuspicions encodes suspicions for another process. All numbers are little-endian.
 func EncodeSuspicions(suspicions []Suspicion) []byte {
 	var encoded []byte
 	for _, s := range suspicions {
--- a/fleet/quarantiner/guard.go
+++ b/fleet/quarantiner/guard.go
@@ -5,10 +5,13 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
+// QuarantineThreshold is the number of crashes after which a guard no longer runs a request.
+const QuarantineThreshold = 2
+
 // Guard admits requests to one endpoint, runs suspects in isolation and refuses quarantined requests. It is not safe for
 // concurrent use.
 type Guard struct {
-	registry *Registry
+	suspects *SuspectTable
 	inFlight map[model.Fingerprint]int
 	total    int
 	// isIsolated is true while a suspect runs alone.
@@ -17,9 +20,9 @@
 	reservations int
 }
 
-// NewGuard returns a guard that uses the crash records of a process.
-func NewGuard(r *Registry) *Guard {
-	return &Guard{registry: r, inFlight: map[model.Fingerprint]int{}}
+// NewGuard returns a guard that uses the suspects of a process.
+func NewGuard(t *SuspectTable) *Guard {
+	return &Guard{suspects: t, inFlight: map[model.Fingerprint]int{}}
 }
 
 // Decision says whether a request may start now.
@@ -38,7 +41,7 @@
 // Admit decides whether a request may start. A suspect starts only if nothing else is in flight, and nothing else starts
 // while it runs.
 func (g *Guard) Admit(f model.Fingerprint, now timekeeper.Millis) Decision {
-	crashes := g.registry.Crashes(f, now)
+	crashes := g.suspects.Crashes(SuspectID(f), now)
 	if crashes >= QuarantineThreshold {
 		return DecisionRefuse
 	}
@@ -66,13 +69,13 @@
 
 // IsSuspect reports whether a request has to run alone.
 func (g *Guard) IsSuspect(f model.Fingerprint, now timekeeper.Millis) bool {
-	return g.registry.Crashes(f, now) > 0
+	return g.suspects.Crashes(SuspectID(f), now) > 0
 }
 
 // Finish records that a request has ended without a crash. This clears a suspect that ran alone.
-func (g *Guard) Finish(f model.Fingerprint) {
+func (g *Guard) Finish(f model.Fingerprint, now timekeeper.Millis) {
 	if g.isIsolated && g.inFlight[f] > 0 {
-		g.registry.Remove(f)
+		g.suspects.RecordAnswer(SuspectID(f), now)
 	}
 	g.release(f)
 }
@@ -97,17 +100,17 @@
 	}
 }
 
-// RecordCrash counts a crash against every request in flight and returns their new crash records.
-func (g *Guard) RecordCrash(now timekeeper.Millis) []CrashRecord {
-	var records []CrashRecord
+// RecordCrash counts a crash against every request in flight and returns the fingerprints of those that it counts against.
+func (g *Guard) RecordCrash(c CrashID, now timekeeper.Millis) []model.Fingerprint {
+	var blamed []model.Fingerprint
 	for f := range g.inFlight {
-		r := CrashRecord{Fingerprint: f, Crashes: g.registry.Crashes(f, now) + 1, ExpiresIn: recordLifetime}
-		g.registry.Merge(r, now)
-		records = append(records, r)
+		if g.suspects.Add(SuspectID(f), c, now) {
+			blamed = append(blamed, f)
+		}
 	}
 	g.inFlight = map[model.Fingerprint]int{}
 	g.total = 0
 	g.isIsolated = false
 
-	return records
+	return blamed
 }
--- a/fleet/quarantiner/suspect_table.go
+++ b/fleet/quarantiner/suspect_table.go
@@ -5,15 +5,18 @@
 	"math/rand/v2"
 	"slices"
 
+	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
 
 const (
-	// maxSuspects limits the suspects that a gateway remembers. Those with the fewest crashes make room.
+	// recordLifetime is how long crashes count against a suspect after the latest of them has become known.
+	recordLifetime = 10 * timekeeper.Minute
+	// maxSuspects limits the suspects that a process remembers. Those with the fewest crashes make room.
 	maxSuspects = 4096
 	// maxCrashesPerSuspect limits the crashes remembered for a suspect. It is above every threshold.
 	maxCrashesPerSuspect = 8
-	// freshDuration is how long a suspect counts as news for the other gateways after its record has changed.
+	// freshDuration is how long a suspect counts as news for the other processes after its record has changed.
 	freshDuration = 10 * timekeeper.Second
 	// maxRepeatedSuspects limits the suspects in a message that are no news. They reach gateways that have started since.
 	maxRepeatedSuspects = 2
@@ -22,7 +25,7 @@
 	relayCost = timekeeper.Second
 )
 
-// Suspicion is what a gateway tells others of a suspect: the crashes counted against it, and how long they count. Without
+// Suspicion is what a process tells others of a suspect: the crashes counted against it, and how long they count. Without
 // crashes it tells that the suspect was answered in whole, and how long it is trusted for that.
 type Suspicion struct {
 	Suspect   SuspectID
@@ -40,9 +43,9 @@
 	timesShared int
 }
 
-// SuspectTable holds the crashes counted against suspects, by this gateway and by those that it hears from. A crash counts once
-// however many gateways report it, and the crashes that different gateways report add up. A whole answer at any gateway clears a
-// suspect at all of them, and keeps it clear while it is trusted. SuspectTable is not safe for concurrent use.
+// SuspectTable holds the crashes counted against suspects, by this process and by those that it hears from. A crash counts once
+// however many processes report it, and the crashes that different processes report add up. A whole answer at any process clears
+// a suspect at all of them, and keeps it clear while it is trusted. SuspectTable is not safe for concurrent use.
 type SuspectTable struct {
 	records  map[SuspectID]*suspectRecord
 	answered *answerMemory
@@ -71,6 +74,32 @@
 	return 0
 }
 
+// QuarantinedFor returns how long a request is still quarantined by the guards of endpoints, zero if it is not.
+func (t *SuspectTable) QuarantinedFor(f model.Fingerprint, now timekeeper.Millis) timekeeper.Millis {
+	if t.Crashes(SuspectID(f), now) < QuarantineThreshold {
+		return 0
+	}
+
+	return t.ExpiresIn(SuspectID(f), now)
+}
+
+// ShareOne returns what to tell another process of one suspect, nil if there is nothing.
+func (t *SuspectTable) ShareOne(s SuspectID, now timekeeper.Millis) []Suspicion {
+	r := t.live(s, now)
+	if r == nil {
+		return nil
+	}
+
+	return []Suspicion{{Suspect: s, Crashes: slices.Clone(r.crashes), ExpiresIn: r.expiresAt - now}}
+}
+
+// MergeEncoded takes in suspicions that another process has encoded.
+func (t *SuspectTable) MergeEncoded(encoded []byte, now timekeeper.Millis) {
+	for _, s := range DecodeSuspicions(encoded) {
+		t.Merge(s, now)
+	}
+}
+
 // Add counts a crash against a suspect and reports whether it was not counted yet. It counts none against a trusted suspect.
 func (t *SuspectTable) Add(s SuspectID, c CrashID, now timekeeper.Millis) bool {
 	if t.trustedFor(s, now) > 0 {
@@ -80,7 +109,7 @@
 	return t.addCrashes(s, []CrashID{c}, recordLifetime, now)
 }
 
-// Merge takes in what another gateway tells and reports whether it changes what is counted here. Crashes of a suspect that is
+// Merge takes in what another process tells and reports whether it changes what is counted here. Crashes of a suspect that is
 // trusted here are not counted, and the other gateways are told so.
 func (t *SuspectTable) Merge(s Suspicion, now timekeeper.Millis) bool {
 	expiresIn := min(s.ExpiresIn, recordLifetime) - relayCost
@@ -143,7 +172,7 @@
 	return r != nil
 }
 
-// announceTrust makes the trust in a suspect news for the other gateways, unless it is.
+// announceTrust makes the trust in a suspect news for the other processes, unless it is.
 func (t *SuspectTable) announceTrust(s SuspectID, duration, now timekeeper.Millis) {
 	if r := t.live(s, now); r != nil && now-r.changedAt < freshDuration {
 		return
@@ -201,7 +230,7 @@
 	}
 }
 
-// Share returns suspects to tell another gateway, as many as fit into maxBytes: news first, those with more than one crash and
+// Share returns suspects to tell another process, as many as fit into maxBytes: news first, those with more than one crash and
 // those shared least often before others, then some that are no news.
 func (t *SuspectTable) Share(maxBytes int, now timekeeper.Millis) []Suspicion {
 	var fresh, old []SuspectID
--- a/router/internal/submitter/attempt.go
+++ b/router/internal/submitter/attempt.go
@@ -12,7 +12,6 @@
 	"cardamompulley/fleet/follower"
 	"cardamompulley/fleet/messenger"
 	"cardamompulley/fleet/model"
-	"cardamompulley/fleet/quarantiner"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -55,19 +54,13 @@
 	}
 	response.Close()
 	s.follower.ObserveVersion(model.Version(first.GetRefusal().GetConfigurationVersion()))
-	s.mergeCrashes(model.Fingerprint(j.request.RunRequest.Fingerprint), first.GetRefusal().GetCrashes())
+	s.mergeSuspects(first.GetRefusal().GetSuspects())
 
 	return nil, refusal, refusal
 }
 
-func (s *Submitter) mergeCrashes(f model.Fingerprint, crashes uint32) {
-	if crashes == 0 {
-		return
-	}
-	s.follower.WithView(func(v follower.View) {
-		record := quarantiner.CrashRecord{Fingerprint: f, Crashes: int(crashes), ExpiresIn: crashRecordLifetime}
-		v.Quarantine.Merge(record, s.follower.Clock.Now())
-	})
+func (s *Submitter) mergeSuspects(encoded []byte) {
+	s.follower.WithView(func(v follower.View) { v.Suspects.MergeEncoded(encoded, s.follower.Clock.Now()) })
 }
 
 // handleConnectionError opens the circuit breaker of the target and returns the refusal. The outcome is unknown unless the
--- a/router/internal/submitter/submitter.go
+++ b/router/internal/submitter/submitter.go
@@ -32,7 +32,6 @@
 	dialTimeout = 500 * timekeeper.Millis(1)
 	// sameEndpointRetryDelay is the delay before an attempt that may go to the same endpoint again.
 	sameEndpointRetryDelay = 100 * timekeeper.Millis(1)
-	crashRecordLifetime    = timekeeper.Minute
 	// maxRetries is the maximum number of retries of one request. Redirects do not count.
 	maxRetries = 3
 	// minAttemptTime is the least time for the round trip to a sidecar.
--- a/router/internal/submitter/target.go
+++ b/router/internal/submitter/target.go
@@ -6,6 +6,7 @@
 	"cardamompulley/fleet/follower"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/placer"
+	"cardamompulley/fleet/quarantiner"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -50,9 +51,10 @@
 func (s *Submitter) checkQuarantine(v follower.View, j *job) *model.Refusal {
 	f := model.Fingerprint(j.request.RunRequest.Fingerprint)
 	now := s.follower.Clock.Now()
-	isQuarantined, remaining := v.Quarantine.IsQuarantined(f, now)
-	if !isQuarantined {
-		j.request.RunRequest.Crashes = uint32(v.Quarantine.Crashes(f, now))
+	remaining := v.Suspects.QuarantinedFor(f, now)
+	if remaining <= 0 {
+		known := v.Suspects.ShareOne(quarantiner.SuspectID(f), now)
+		j.request.RunRequest.Suspects = quarantiner.EncodeSuspicions(known)
 
 		return nil
 	}
--- a/sidecar/internal/worker/filter_quarantine.go
+++ b/sidecar/internal/worker/filter_quarantine.go
@@ -27,7 +27,7 @@
 	succeeded := refusal == nil
 	w.withGuard(func(g *quarantiner.Guard) {
 		if succeeded {
-			g.Finish(j.fingerprint)
+			g.Finish(j.fingerprint, w.clock.Now())
 		} else {
 			g.Abandon(j.fingerprint)
 		}
@@ -91,7 +91,7 @@
 
 func (w *Worker) refuseQuarantined(j *job) *model.Refusal {
 	var expiresIn timekeeper.Millis
-	w.follower.WithView(func(v follower.View) { _, expiresIn = v.Quarantine.IsQuarantined(j.fingerprint, w.clock.Now()) })
+	w.follower.WithView(func(v follower.View) { expiresIn = v.Suspects.QuarantinedFor(j.fingerprint, w.clock.Now()) })
 
 	return model.NewRefusal(model.CodeRequestQuarantined, quarantinedDetail).
 		WithOutcome(model.OutcomeUnknown).WithRetryAfter(expiresIn).AsFinal()
@@ -118,30 +118,34 @@
 		WithRetryAfter(timekeeper.Second).WithNextEndpoint(alternative)
 }
 
-// mergeCrashes adds the number of crashes that the router knows of a request to the crash records.
-func (w *Worker) mergeCrashes(j *job) {
-	if j.request.Crashes == 0 {
-		return
-	}
+// mergeSuspects takes in what the router knows of crashes that the request may have caused.
+func (w *Worker) mergeSuspects(j *job) {
+	w.follower.WithView(func(v follower.View) { v.Suspects.MergeEncoded(j.request.Suspects, w.clock.Now()) })
+}
+
+// knownCrashes returns what this sidecar knows of crashes that the request may have caused, encoded.
+func (w *Worker) knownCrashes(j *job) []byte {
+	var known []quarantiner.Suspicion
 	w.follower.WithView(func(v follower.View) {
-		record := quarantiner.CrashRecord{
-			Fingerprint: j.fingerprint,
-			Crashes:     int(j.request.Crashes),
-			ExpiresIn:   timekeeper.Minute,
-		}
-		v.Quarantine.Merge(record, w.clock.Now())
+		known = v.Suspects.ShareOne(quarantiner.SuspectID(j.fingerprint), w.clock.Now())
 	})
+
+	return quarantiner.EncodeSuspicions(known)
 }
 
 // recordCrash counts a crash of the endpoint against every request in flight. It is called once for each crash.
 func (w *Worker) recordCrash() {
-	w.withGuard(func(g *quarantiner.Guard) {
-		for _, record := range g.RecordCrash(w.clock.Now()) {
+	crash := quarantiner.NewCrashID(w.self, w.clock.Now())
+	w.follower.WithView(func(v follower.View) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, f := range w.guard.RecordCrash(crash, w.clock.Now()) {
+			crashes := v.Suspects.Crashes(quarantiner.SuspectID(f), w.clock.Now())
 			event := logger.EventRequestSuspected
-			if record.Crashes >= quarantiner.QuarantineThreshold {
+			if crashes >= quarantiner.QuarantineThreshold {
 				event = logger.EventRequestQuarantined
 			}
-			w.log.Write(event, logger.Int("fingerprint", uint64(record.Fingerprint)), logger.Int("crashes", record.Crashes))
+			w.log.Write(event, logger.Int("fingerprint", uint64(f)), logger.Int("crashes", crashes))
 		}
 	})
 }
@@ -149,13 +153,7 @@
 // announceSuspect notifies the other top candidates of a request that it may have crashed this endpoint.
 func (w *Worker) announceSuspect(ctx context.Context, j *job) {
 	var addresses []string
-	var record quarantiner.CrashRecord
 	w.follower.WithView(func(v follower.View) {
-		record = quarantiner.CrashRecord{
-			Fingerprint: j.fingerprint,
-			Crashes:     v.Quarantine.Crashes(j.fingerprint, w.clock.Now()),
-			ExpiresIn:   timekeeper.Minute,
-		}
 		g := v.Groups.Get(w.groupKey(j))
 		topMembers, count := placer.NewPlacer(w.domain, v.LoadTable).TopMembers(g, model.ChatKey(j.request.Chat))
 		for _, m := range topMembers[:count] {
@@ -164,7 +162,7 @@
 			}
 		}
 	})
-	if record.Crashes > 0 {
-		w.sendSuspectNotices(ctx, addresses, record)
+	if known := w.knownCrashes(j); len(known) > 0 {
+		w.sendSuspectNotices(ctx, addresses, known)
 	}
 }
--- a/sidecar/internal/worker/peer_notices.go
+++ b/sidecar/internal/worker/peer_notices.go
@@ -10,7 +10,6 @@
 	"cardamompulley/fleet/messenger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/placer"
-	"cardamompulley/fleet/quarantiner"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -99,28 +98,24 @@
 	return &messenger.NoteHoldersResponse{}, nil
 }
 
-// sendSuspectNotices sends a crash record to the sidecars at the addresses. It does so even if ctx has been cancelled.
-func (w *Worker) sendSuspectNotices(ctx context.Context, addresses []string, record quarantiner.CrashRecord) {
+// sendSuspectNotices sends encoded suspicions to the sidecars at the addresses. It does so even if ctx has been cancelled.
+func (w *Worker) sendSuspectNotices(ctx context.Context, addresses []string, encoded []byte) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), suspectNoticeTimeout.Duration())
 	defer cancel()
-	request := &messenger.NoteSuspectsRequest{Suspects: follower.EncodeCrashRecords([]quarantiner.CrashRecord{record})}
+	request := &messenger.NoteSuspectsRequest{Suspects: encoded}
 	var g conc.WaitGroup
 	for _, address := range addresses {
 		g.Go(func() {
-			// Errors are ignored: gossip also carries the crash record.
+			// Errors are ignored: gossip also carries the suspicions.
 			_, _ = w.newPeerClient(address).NoteSuspects(ctx, request)
 		})
 	}
 	g.Wait()
 }
 
-// NoteSuspects stores the crash records of requests that may have crashed another endpoint.
+// NoteSuspects takes in crashes of requests that may have crashed another endpoint.
 func (w *Worker) NoteSuspects(_ context.Context, r *messenger.NoteSuspectsRequest) (*messenger.NoteSuspectsResponse, error) {
-	w.follower.WithView(func(v follower.View) {
-		for _, s := range r.Suspects {
-			v.Quarantine.Merge(follower.DecodeCrashRecord(s), w.clock.Now())
-		}
-	})
+	w.follower.WithView(func(v follower.View) { v.Suspects.MergeEncoded(r.Suspects, w.clock.Now()) })
 
 	return &messenger.NoteSuspectsResponse{}, nil
 }
--- a/sidecar/internal/worker/worker.go
+++ b/sidecar/internal/worker/worker.go
@@ -106,7 +106,7 @@
 		drained:         make(chan struct{}),
 		isDown:          true,
 	}
-	f.WithView(func(v follower.View) { w.guard = quarantiner.NewGuard(v.Quarantine) })
+	f.WithView(func(v follower.View) { w.guard = quarantiner.NewGuard(v.Suspects) })
 	f.OnSnapshot = w.applySnapshot
 	w.prober.OnChange = w.handleStateChange
 	w.chain = buildChain(w.execute, w.filterIdempotency, w.filterAvailability, w.filterPlacement, w.filterAdmission, w.filterQuarantine)
@@ -147,7 +147,7 @@
 	if j.snapshot != nil && model.Version(r.ConfigurationVersion) > j.snapshot.Version {
 		w.follower.ObserveVersion(model.Version(r.ConfigurationVersion))
 	}
-	w.mergeCrashes(j)
+	w.mergeSuspects(j)
 	refusal := w.chain(ctx, j)
 	if refusal == nil {
 		requestsRunTotal.Inc()
@@ -179,17 +179,10 @@
 		NextEndpoint:         string(r.NextEndpoint),
 		Final:                r.IsFinal,
 		ConfigurationVersion: uint64(version),
-		Crashes:              uint32(w.crashCount(j)),
+		Suspects:             w.knownCrashes(j),
 	}
 }
 
-func (w *Worker) crashCount(j *job) int {
-	count := 0
-	w.follower.WithView(func(v follower.View) { count = v.Quarantine.Crashes(j.fingerprint, w.clock.Now()) })
-
-	return count
-}
-
 func (w *Worker) currentLoad() *messenger.Load {
 	isVMDraining := w.follower.IsVMDraining()
 	w.mu.Lock()
