A gateway that starts late learns first of what has crashed more than one endpoint

What callers would see: a gateway that starts while a request or part is quarantined knows of it only after many exchanges if many sound requests have stood beside a crash, and lets it crash more.

Cause: two suspects a message that are no news, at random among all.

Evidence: TestLateGatewayLearnsOfRepeatedCrashesFirst failed: of 500 suspects two are quarantined, neither known after four exchanges.

Change: among those, suspects with more than one crash come first.

--- a/fleet/quarantiner/suspect_table.go
+++ b/fleet/quarantiner/suspect_table.go
@@ -231,21 +231,12 @@
 }
 
 // Share returns suspects to tell another process, as many as fit into maxBytes: news first, those with more than one crash and
-// those shared least often before others, then some that are no news.
+// those shared least often before others, then a random choice of those that are no news.
 func (t *SuspectTable) Share(maxBytes int, now timekeeper.Millis) []Suspicion {
-	var fresh, old []SuspectID
-	for s, r := range t.records {
-		switch {
-		case r.expiresAt <= now:
-			delete(t.records, s)
-		case now-r.changedAt < freshDuration:
-			fresh = append(fresh, s)
-		default:
-			old = append(old, s)
-		}
-	}
+	fresh, old := t.split(now)
 	slices.SortFunc(fresh, t.compareNews)
 	rand.Shuffle(len(old), func(i, j int) { old[i], old[j] = old[j], old[i] })
+	slices.SortStableFunc(old, t.compareRepeats)
 	var shared []Suspicion
 	for _, s := range append(fresh, old[:min(len(old), maxRepeatedSuspects)]...) {
 		r := t.records[s]
@@ -254,22 +245,44 @@
 			break
 		}
 		r.timesShared++
-		shared = append(shared, Suspicion{Suspect: s, Crashes: slices.Clone(r.crashes), ExpiresIn: r.expiresAt - now})
+		shared = append(shared, t.ShareOne(s, now)...)
 	}
 
 	return shared
 }
 
-// compareNews orders suspects by the urgency of telling others.
-func (t *SuspectTable) compareNews(x, y SuspectID) int {
-	a, b := t.records[x], t.records[y]
-	if isRepeat, otherIsRepeat := len(a.crashes) > 1, len(b.crashes) > 1; isRepeat != otherIsRepeat {
-		if isRepeat {
-			return -1
+// split returns the suspects that are news and those that are not. It deletes those that have expired.
+func (t *SuspectTable) split(now timekeeper.Millis) (fresh, old []SuspectID) {
+	for s, r := range t.records {
+		switch {
+		case r.expiresAt <= now:
+			delete(t.records, s)
+		case now-r.changedAt < freshDuration:
+			fresh = append(fresh, s)
+		default:
+			old = append(old, s)
 		}
+	}
 
+	return fresh, old
+}
+
+// compareRepeats orders suspects with more than one crash before others.
+func (t *SuspectTable) compareRepeats(x, y SuspectID) int {
+	isRepeat, otherIsRepeat := len(t.records[x].crashes) > 1, len(t.records[y].crashes) > 1
+	switch {
+	case isRepeat == otherIsRepeat:
+		return 0
+	case isRepeat:
+		return -1
+	default:
 		return 1
 	}
+}
+
+// compareNews orders suspects by the urgency of telling others.
+func (t *SuspectTable) compareNews(x, y SuspectID) int {
+	a, b := t.records[x], t.records[y]
 
-	return cmp.Or(cmp.Compare(a.timesShared, b.timesShared), cmp.Compare(b.changedAt, a.changedAt), cmp.Compare(x, y))
+	return cmp.Or(t.compareRepeats(x, y), cmp.Compare(a.timesShared, b.timesShared), cmp.Compare(b.changedAt, a.changedAt), cmp.Compare(x, y))
 }
--- a/fleet/quarantiner/suspect_table_test.go
+++ b/fleet/quarantiner/suspect_table_test.go
@@ -143,3 +143,26 @@
 		t.Error("the newest suspect is not trusted for as long as it should be")
 	}
 }
+
+// A gateway that starts late must learn of what is quarantined before it learns of everything that stood beside a crash.
+func TestLateGatewayLearnsOfRepeatedCrashesFirst(t *testing.T) {
+	table, late := NewSuspectTable(), NewSuspectTable()
+	for n := range 500 {
+		table.Add(SuspectID(n), 1, 0)
+	}
+	for n := range requestThreshold {
+		table.Add(50, CrashID(n), 0)
+		table.Add(60, CrashID(n), 0)
+	}
+	const exchanges = 4
+	for range exchanges {
+		for _, s := range table.Share(1<<20, freshDuration+1) {
+			late.Merge(s, freshDuration+1)
+		}
+	}
+	for _, s := range []SuspectID{50, 60} {
+		if n := late.Crashes(s, freshDuration+1); n != requestThreshold {
+			t.Errorf("%d crashes of suspect %d known after %d exchanges, want %d", n, s, exchanges, requestThreshold)
+		}
+	}
+}
