The check of an endpoint tries again when its first packet may have been lost

What callers would see: on a link that loses packets a crash goes unseen now and then, if the check's first packet is lost and the connection was an old one, whose loss opens no circuit breaker.

Cause: the check gave up at a timeout, which is no refusal.

Evidence: TestCheckAliveFindsCrashDespiteLostPacketAndEarlyClose failed in the case of the lost packet.

Change: a check opens up to two connections, after a timeout as after an early close.

--- a/router/internal/connector/pool.go
+++ b/router/internal/connector/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -41,8 +42,9 @@
 
 // Pool holds idle connections, grouped by endpoint. It is safe for concurrent use.
 type Pool struct {
-	clock  timekeeper.Clock
-	dialer *net.Dialer
+	clock timekeeper.Clock
+	// dialContext opens a network connection.
+	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[model.EndpointID][]*Conn
@@ -51,9 +53,9 @@
 // NewPool returns an empty pool.
 func NewPool(t Timeouts, clock timekeeper.Clock) *Pool {
 	return &Pool{
-		clock:  clock,
-		dialer: dialer.NewDialer(t.DialTimeout, t.AckTimeout),
-		idle:   map[model.EndpointID][]*Conn{},
+		clock:       clock,
+		dialContext: dialer.NewDialer(t.DialTimeout, t.AckTimeout).DialContext,
+		idle:        map[model.EndpointID][]*Conn{},
 	}
 }
 
@@ -109,14 +111,20 @@
 	maxAliveChecks = 2
 )
 
-// CheckAlive opens a connection to an endpoint, waits whether the endpoint keeps it open, and puts it into the pool. It returns
-// an error only if no connection can be opened; errors match ErrDial.
+// CheckAlive opens a connection to an endpoint, waits whether the endpoint keeps it open, and puts it into the pool. It tries again
+// if the endpoint closes the connection, or does not answer because a packet may have been lost. It returns an error only if no
+// connection can be opened; errors match ErrDial.
 func (p *Pool) CheckAlive(ctx context.Context, id model.EndpointID, address string) error {
+	var err error
 	for range maxAliveChecks {
-		c, err := p.dial(ctx, id, address)
-		if err != nil {
+		var c *Conn
+		c, err = p.dial(ctx, id, address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
 			return err
 		}
+		if err != nil {
+			continue
+		}
 		timekeeper.Sleep(ctx, aliveCheckDelay)
 		if c.isUsable() {
 			p.Put(c)
@@ -126,11 +134,11 @@
 		c.Close()
 	}
 
-	return nil
+	return err
 }
 
 func (p *Pool) dial(ctx context.Context, id model.EndpointID, address string) (*Conn, error) {
-	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	c, err := p.dialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrDial, id, err)
 	}
--- a/router/internal/connector/pool_test.go
+++ b/router/internal/connector/pool_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -50,3 +53,48 @@
 		})
 	}
 }
+
+func TestCheckAliveFindsCrashDespiteLostPacketAndEarlyClose(t *testing.T) {
+	accepted := func() (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		_ = theirs.Close()
+
+		return ours, nil
+	}
+	lost := func() (net.Conn, error) { return nil, os.ErrDeadlineExceeded }
+	refused := func() (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	cases := []struct {
+		name      string
+		dials     []func() (net.Conn, error)
+		isRefused bool
+	}{
+		{"refused", []func() (net.Conn, error){refused}, true},
+		{"the first packet is lost", []func() (net.Conn, error){lost, refused}, true},
+		{"accepted and closed", []func() (net.Conn, error){accepted, refused}, true},
+		{"accepted and closed twice", []func() (net.Conn, error){accepted, accepted}, false},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			p := NewPool(Timeouts{DialTimeout: timekeeper.Second, AckTimeout: timekeeper.Minute}, timekeeper.NewSystemClock())
+			dials := 0
+			p.dialContext = func(context.Context, string, string) (net.Conn, error) {
+				dials++
+				conn, err := x.dials[dials-1]()
+				if err != nil {
+					return nil, err
+				}
+
+				return closedConn{conn}, nil
+			}
+			if err := p.CheckAlive(t.Context(), "e", ""); errors.Is(err, syscall.ECONNREFUSED) != x.isRefused {
+				t.Errorf("error %v, want a refusal: %v", err, x.isRefused)
+			}
+		})
+	}
+}
+
+// closedConn is a connection that its other side has closed.
+type closedConn struct{ net.Conn }
+
+// SyscallConn fails, as on a closed socket.
+func (closedConn) SyscallConn() (syscall.RawConn, error) { return nil, net.ErrClosed }
