--- a/router/internal/forwarder/crash_test.go
+++ b/router/internal/forwarder/crash_test.go
@@ -281,3 +281,30 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// Another process at the address of an endpoint that broke a connection shows that the endpoint has ended.
+func TestCrashIsCountedIfAnotherProcessHasTheAddress(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	requests := make(chan *http.Request, 2)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests <- r
+		if len(requests) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Cardamompulley-Attempt-Id", "a")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})}
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	f := newTestForwarder(l.Addr().String())
+	serveAborting(t.Context(), f)
+	if n := crashesCounted(f); n != 0 {
+		t.Fatalf("%d crashes counted before the other process has answered, want 0", n)
+	}
+	serveAborting(t.Context(), f)
+	waitForCount(t, f, 1)
+}
