--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	streamsResumed      = metrics.NewCounter("gateway_streams_resumed_total")
 	streamsInterrupted  = metrics.NewCounter("gateway_streams_cut_total")
 	callersDisconnected = metrics.NewCounter("gateway_callers_gone_total")
+	requestsQuarantined = metrics.NewCounter("gateway_requests_quarantined_total")
 	endpointCrashes     = metrics.NewCounter("gateway_endpoint_crashes_total")
 	firstByteSeconds    = metrics.NewHistogram("gateway_first_byte_seconds")
 	requestSeconds      = metrics.NewHistogram("gateway_request_seconds")
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -87,6 +87,9 @@
 // refuse responds that the request was not served. The status tells the caller whether the request may have run.
 func (p *proxiedRequest) refuse(r *model.Refusal) {
 	requestsRefused.Inc()
+	if r.Code == model.CodeRequestQuarantined {
+		requestsQuarantined.Inc()
+	}
 	status := platform.HTTPStatus(r)
 	p.forwarder.log.Write(logger.EventRequestRefused, append(p.logFields(),
 		logger.Int("status", status), logger.String("code", r.Code),
