--- a/experimenter/internal/launcher/gateway_crash_test.go
+++ b/experimenter/internal/launcher/gateway_crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -35,6 +36,9 @@
 	// newCrasher returns the n-th crashing request, without its gateway.
 	newCrasher func(n int) *gatewayCall
 
+	// gateways are those that get the traffic, all of the fleet if it is nil.
+	gateways atomic.Pointer[[]*launcher.Process]
+
 	sound, served atomic.Int64
 	// lateSound and lateServed count the sound requests sent later than recoveryDelay after the start.
 	lateSound, lateServed atomic.Int64
@@ -60,14 +64,23 @@
 	time.Sleep(time.Second)
 	for n := 0; time.Now().Before(end); n++ {
 		call := c.newCrasher(n)
-		call.gateway = c.fleet.Gateways[(n*5)%len(c.fleet.Gateways)]
+		call.gateway = c.gateway(n * 5)
 		w.Go(func() { call.send(ctx) })
 		time.Sleep(c.crashEvery)
 	}
 }
 
+// gateway returns the gateway of the n-th request.
+func (c *crashTraffic) gateway(n int) *launcher.Process {
+	if current := c.gateways.Load(); current != nil {
+		return (*current)[n%len(*current)]
+	}
+
+	return c.fleet.Gateways[n%len(c.fleet.Gateways)]
+}
+
 func (c *crashTraffic) sendSound(ctx context.Context, n int, isLate bool) {
-	call := newGatewayCall(c.fleet.Gateways[n%len(c.fleet.Gateways)], http.MethodPost, editsPath).asStream()
+	call := newGatewayCall(c.gateway(n), http.MethodPost, editsPath).asStream()
 	call.body = fmt.Sprintf("sound request %d", n)
 	call.headers["Cardamompulley-Prompt-Prefix"] = fmt.Sprintf("a1:50,%x:50,%x:50,%x:20", 0xb00+n%5, 0xd00+n%20, 0xc0000+n)
 	r := call.send(ctx)
@@ -175,3 +188,57 @@
 		})
 	}
 }
+
+// The bound holds for each of two crashers at once, while gateways are killed and others start that know nothing of before.
+func TestNewGatewaysStopSendingWhatCrashesEndpoints(t *testing.T) {
+	const body, part = "crashing body", "deadbeef"
+	t.Parallel()
+	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways, s.Engines, s.PlainEndpoints = 4, 0, 0 })
+	site := newCrashSite(t, f, 16, crashAfterHead, body, part)
+	waitForRetryBudget()
+	traffic := &crashTraffic{fleet: f, soundEvery: 40 * time.Millisecond, crashEvery: 150 * time.Millisecond}
+	traffic.newCrasher = func(n int) *gatewayCall {
+		c := newGatewayCall(nil, http.MethodPost, editsPath).asStream()
+		if n%2 == 0 {
+			c.body = body
+		} else {
+			c.body = fmt.Sprintf("body %d", n)
+			c.headers["Cardamompulley-Prompt-Prefix"] = fmt.Sprintf("a1:50,%s:50,%x:20", part, 0xe0000+n)
+		}
+
+		return c
+	}
+	current := slices.Clone(f.Gateways)
+	traffic.gateways.Store(&current)
+	var w sync.WaitGroup
+	w.Go(func() { traffic.run(t.Context(), 18*time.Second) })
+	for range 3 {
+		time.Sleep(2500 * time.Millisecond)
+		replaceGateway(t, f, traffic)
+	}
+	w.Wait()
+	for text, tolerated := range map[string]int{body: crashesOfRequest, part: crashesOfPart} {
+		crashes, late := site.lateArrivals(text, tolerated, contactTime)
+		t.Logf("%s: %d crashes, %d late arrivals", text, crashes, late)
+		if crashes < tolerated || late > maxLateArrivals {
+			t.Errorf("%s: %d crashes, %d late arrivals, want at least %d and at most %d", text, crashes, late, tolerated, maxLateArrivals)
+		}
+	}
+	traffic.requireSoundServed(t)
+}
+
+// replaceGateway starts a gateway, gives it traffic once it is ready, and kills the one that has had traffic for longest, except
+// the seed.
+func replaceGateway(t *testing.T, f *launcher.GatewayFleet, traffic *crashTraffic) {
+	t.Helper()
+	added, err := f.StartGateway()
+	must(t, err)
+	waitFor(t, "the new gateway is ready", 5*time.Second, func() bool { return f.IsReady(added) })
+	old := *traffic.gateways.Load()
+	current := append([]*launcher.Process{old[0]}, old[2:]...)
+	current = append(current, added)
+	traffic.gateways.Store(&current)
+	// Requests that run at the old gateway end first.
+	time.Sleep(time.Second)
+	old[1].Kill()
+}
--- a/router/internal/forwarder/crash_test.go
+++ b/router/internal/forwarder/crash_test.go
@@ -127,7 +127,7 @@
 			e := newCrashingEndpoint(t, x.start)
 			f := newTestForwarder(e.listener.Addr().String())
 			serveAborting(t.Context(), f)
-			waitForCount(t, f, 1)
+			waitForCrash(t, f)
 		})
 	}
 }
@@ -141,14 +141,15 @@
 	serveAborting(ctx, f)
 	time.Sleep(50 * time.Millisecond)
 	f.recordCrash(f.CurrentView().Endpoint("e"))
-	waitForCount(t, f, 1)
+	waitForCrash(t, f)
 }
 
-func waitForCount(t *testing.T, f *Forwarder, want int) {
+// waitForCrash waits until a crash is counted against a suspect.
+func waitForCrash(t *testing.T, f *Forwarder) {
 	t.Helper()
-	for deadline := time.Now().Add(time.Second); crashesCounted(f) < want; {
+	for deadline := time.Now().Add(time.Second); crashesCounted(f) == 0; {
 		if time.Now().After(deadline) {
-			t.Fatalf("%d crashes counted after a second, want %d", crashesCounted(f), want)
+			t.Fatal("no crash counted after a second, want 1")
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -190,7 +191,7 @@
 	calls := 0
 	f.CurrentView = func() *cataloguer.View {
 		if calls++; calls > 1 {
-			waitForCount(t, f, 1)
+			waitForCrash(t, f)
 			for _, s := range f.SharedSuspects(1 << 20) {
 				f.MergeSuspects("other", []quarantiner.Suspicion{
 					{Suspect: s.Suspect, Crashes: []quarantiner.CrashID{1, 2}, ExpiresIn: timekeeper.Minute},
@@ -306,5 +307,5 @@
 		t.Fatalf("%d crashes counted before the other process has answered, want 0", n)
 	}
 	serveAborting(t.Context(), f)
-	waitForCount(t, f, 1)
+	waitForCrash(t, f)
 }
