--- a/experimenter/internal/launcher/crashing_endpoint_test.go
+++ b/experimenter/internal/launcher/crashing_endpoint_test.go
@@ -53,6 +53,17 @@
 	servers  map[*http.Server]bool
 }
 
+// launchCrashSite starts gateways in front of endpoints that crash on requests with one of the texts.
+func launchCrashSite(t *testing.T, gateways int, stage crashStage, texts ...string) (*launcher.GatewayFleet, *crashSite) {
+	t.Helper()
+	const endpoints = 16
+	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways, s.Engines, s.PlainEndpoints = gateways, 0, 0 })
+	site := newCrashSite(t, f, endpoints, stage, texts...)
+	waitForRetryBudget()
+
+	return f, site
+}
+
 func newCrashSite(t *testing.T, f *launcher.GatewayFleet, endpoints int, stage crashStage, texts ...string) *crashSite {
 	t.Helper()
 	s := &crashSite{
--- a/experimenter/internal/launcher/gateway_crash_test.go
+++ b/experimenter/internal/launcher/gateway_crash_test.go
@@ -1,12 +1,10 @@
 package launcher_test
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,82 +21,13 @@
 	crashesOfRequest = 3
 	// crashesOfPart is the number of endpoints that requests with one prompt part may crash before the time begins.
 	crashesOfPart = 5
-	// minSoundShare is the share of the sound requests that have to be served from twice the contact time after the last
-	// tolerated crash on.
-	minSoundShare = 0.95
 )
 
-// crashTraffic is a load of sound requests, with one crashing request that comes again and again at any gateway.
-type crashTraffic struct {
-	fleet *launcher.GatewayFleet
-	// soundEvery and crashEvery are the intervals between requests of each kind, over all gateways.
-	soundEvery, crashEvery time.Duration
-	// newCrasher returns the n-th crashing request, without its gateway.
-	newCrasher func(n int) *gatewayCall
-
-	// gateways are those that get the traffic, all of the fleet if it is nil.
-	gateways atomic.Pointer[[]*launcher.Process]
-
-	sound, served atomic.Int64
-	// lateSound and lateServed count the sound requests sent later than recoveryDelay after the start.
-	lateSound, lateServed atomic.Int64
-}
-
-// recoveryDelay is the time after the start of the traffic from which sound requests have to be served as if nothing crashed:
-// the crashing requests begin after a second, and twice the contact time follows the fifth crash.
-const recoveryDelay = 9 * time.Second
-
-// run sends the traffic for a time, crashing requests after a second, and waits until all requests have ended.
-func (c *crashTraffic) run(ctx context.Context, duration time.Duration) {
-	var w sync.WaitGroup
-	defer w.Wait()
-	start := time.Now()
-	end := start.Add(duration)
-	w.Go(func() {
-		for n := 0; time.Now().Before(end); n++ {
-			isLate := time.Since(start) > recoveryDelay
-			w.Go(func() { c.sendSound(ctx, n, isLate) })
-			time.Sleep(c.soundEvery)
-		}
-	})
-	time.Sleep(time.Second)
-	for n := 0; time.Now().Before(end); n++ {
-		call := c.newCrasher(n)
-		call.gateway = c.gateway(n * 5)
-		w.Go(func() { call.send(ctx) })
-		time.Sleep(c.crashEvery)
-	}
-}
-
-// gateway returns the gateway of the n-th request.
-func (c *crashTraffic) gateway(n int) *launcher.Process {
-	if current := c.gateways.Load(); current != nil {
-		return (*current)[n%len(*current)]
-	}
-
-	return c.fleet.Gateways[n%len(c.fleet.Gateways)]
-}
-
-func (c *crashTraffic) sendSound(ctx context.Context, n int, isLate bool) {
-	call := newGatewayCall(c.gateway(n), http.MethodPost, editsPath).asStream()
-	call.body = fmt.Sprintf("sound request %d", n)
-	call.headers["Cardamompulley-Prompt-Prefix"] = fmt.Sprintf("a1:50,%x:50,%x:50,%x:20", 0xb00+n%5, 0xd00+n%20, 0xc0000+n)
-	r := call.send(ctx)
-	isServed := r.err == nil && r.status == http.StatusOK && r.body == completeStream(eventsOfAnswer)
-	counters := map[*atomic.Int64]bool{&c.sound: true, &c.served: isServed, &c.lateSound: isLate, &c.lateServed: isLate && isServed}
-	for counter, counts := range counters {
-		if counts {
-			counter.Add(1)
-		}
-	}
-}
-
-// requireSoundServed fails the test if too few sound requests were served.
-func (c *crashTraffic) requireSoundServed(t *testing.T) {
+// requireBound fails the test if too few crashes were tolerated, or too many requests arrived after that.
+func requireBound(t *testing.T, text string, crashes, late, tolerated int) {
 	t.Helper()
-	share := float64(c.lateServed.Load()) / float64(max(c.lateSound.Load(), 1))
-	if share < minSoundShare {
-		t.Errorf("%.2f of the sound requests were served after the crashes, want %.2f", share, minSoundShare)
+	if crashes < tolerated || late > maxLateArrivals {
+		t.Errorf("%s: %d crashes, %d late arrivals, want at least %d and at most %d", text, crashes, late, tolerated, maxLateArrivals)
 	}
 }
 
@@ -119,9 +48,7 @@
 	for _, x := range cases {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
-			f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways, s.Engines, s.PlainEndpoints = x.gateways, 0, 0 })
-			site := newCrashSite(t, f, 16, x.stage, text)
-			waitForRetryBudget()
+			f, site := launchCrashSite(t, x.gateways, x.stage, text)
 			traffic := &crashTraffic{fleet: f, soundEvery: 40 * time.Millisecond, crashEvery: x.every, newCrasher: func(int) *gatewayCall {
 				c := newGatewayCall(nil, http.MethodPost, editsPath).asStream()
 				c.body = text
@@ -131,9 +58,7 @@
 			traffic.run(t.Context(), 14*time.Second)
 			crashes, late := site.lateArrivals(text, crashesOfRequest, contactTime)
 			t.Logf("%d crashes, %d late arrivals, %d of %d sound requests served", crashes, late, traffic.served.Load(), traffic.sound.Load())
-			if crashes < crashesOfRequest || late > maxLateArrivals {
-				t.Errorf("%d crashes, %d late arrivals, want at least %d and at most %d", crashes, late, crashesOfRequest, maxLateArrivals)
-			}
+			requireBound(t, text, crashes, late, crashesOfRequest)
 			traffic.requireSoundServed(t)
 		})
 	}
@@ -167,9 +92,7 @@
 	for _, x := range cases {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
-			f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways, s.Engines, s.PlainEndpoints = x.gateways, 0, 0 })
-			site := newCrashSite(t, f, 16, x.stage, part)
-			waitForRetryBudget()
+			f, site := launchCrashSite(t, x.gateways, x.stage, part)
 			traffic := &crashTraffic{fleet: f, soundEvery: 40 * time.Millisecond, crashEvery: x.every, newCrasher: func(n int) *gatewayCall {
 				c := newGatewayCall(nil, http.MethodPost, editsPath).asStream()
 				c.body = fmt.Sprintf("body %d", n)
@@ -181,9 +104,7 @@
 			crashes, late := site.lateArrivals(part, crashesOfPart, contactTime)
 			t.Logf("%d crashes, %d late arrivals, %d of %d sound requests served, late ones %d of %d", crashes, late,
 				traffic.served.Load(), traffic.sound.Load(), traffic.lateServed.Load(), traffic.lateSound.Load())
-			if crashes < crashesOfPart || late > maxLateArrivals {
-				t.Errorf("%d crashes, %d late arrivals, want at least %d and at most %d", crashes, late, crashesOfPart, maxLateArrivals)
-			}
+			requireBound(t, part, crashes, late, crashesOfPart)
 			traffic.requireSoundServed(t)
 		})
 	}
@@ -193,9 +114,7 @@
 func TestNewGatewaysStopSendingWhatCrashesEndpoints(t *testing.T) {
 	const body, part = "crashing body", "deadbeef"
 	t.Parallel()
-	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways, s.Engines, s.PlainEndpoints = 4, 0, 0 })
-	site := newCrashSite(t, f, 16, crashAfterHead, body, part)
-	waitForRetryBudget()
+	f, site := launchCrashSite(t, 4, crashAfterHead, body, part)
 	traffic := &crashTraffic{fleet: f, soundEvery: 40 * time.Millisecond, crashEvery: 150 * time.Millisecond}
 	traffic.newCrasher = func(n int) *gatewayCall {
 		c := newGatewayCall(nil, http.MethodPost, editsPath).asStream()
@@ -220,9 +139,7 @@
 	for text, tolerated := range map[string]int{body: crashesOfRequest, part: crashesOfPart} {
 		crashes, late := site.lateArrivals(text, tolerated, contactTime)
 		t.Logf("%s: %d crashes, %d late arrivals", text, crashes, late)
-		if crashes < tolerated || late > maxLateArrivals {
-			t.Errorf("%s: %d crashes, %d late arrivals, want at least %d and at most %d", text, crashes, late, tolerated, maxLateArrivals)
-		}
+		requireBound(t, text, crashes, late, tolerated)
 	}
 	traffic.requireSoundServed(t)
 }
--- a/fleet/quarantiner/crash_tracker.go
+++ b/fleet/quarantiner/crash_tracker.go
@@ -122,10 +122,10 @@
 	if crashes >= s.Threshold() {
 		return true, t.Suspects.ExpiresIn(s.ID, now)
 	}
-	if crashes < s.minThreshold() {
+	tolerated := math.Ceil(float64(s.Threshold()) * t.Reach.Share(t.FleetSize(), now))
+	if crashes < max(int(tolerated), s.minThreshold()) {
 		return false, 0
 	}
-	tolerated := math.Ceil(float64(s.Threshold()) * t.Reach.Share(t.FleetSize(), now))
 
-	return crashes >= int(tolerated), partitionRetryAfter
+	return true, partitionRetryAfter
 }
--- a/router/internal/forwarder/crash_test.go
+++ b/router/internal/forwarder/crash_test.go
@@ -155,13 +155,15 @@
 	}
 }
 
-// A connection that breaks while the endpoint lives on is no crash.
-func TestBrokenConnectionIsNoCrash(t *testing.T) {
+// listenAndAnswer returns the address of an endpoint that sends the answer to the first request of each connection and closes the
+// connection.
+func listenAndAnswer(t *testing.T, answer string) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -170,12 +172,19 @@
 			}
 			go func() {
 				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, answer)
 					_ = conn.Close()
 				}
 			}()
 		}
 	}()
-	f := newTestForwarder(l.Addr().String())
+
+	return l.Addr().String()
+}
+
+// A connection that breaks while the endpoint lives on is no crash.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	f := newTestForwarder(listenAndAnswer(t, ""))
 	serveAborting(t.Context(), f)
 	time.Sleep(600 * time.Millisecond)
 	if n := crashesCounted(f); n != 0 {
@@ -245,26 +254,7 @@
 
 // An unframed answer clears its request only once its endpoint has turned out to be alive.
 func TestUnframedAnswerOfLiveEndpointClearsRequest(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, unframedStreamHead+firstEvent)
-					_ = conn.Close()
-				}
-			}()
-		}
-	}()
-	f := newTestForwarder(l.Addr().String())
+	f := newTestForwarder(listenAndAnswer(t, unframedStreamHead+firstEvent))
 	suspect := quarantiner.NewRequestSuspect(http.MethodGet, "a", "http://a/", "", nil)
 	f.MergeSuspects("other", []quarantiner.Suspicion{{Suspect: suspect.ID, Crashes: []quarantiner.CrashID{1}, ExpiresIn: timekeeper.Minute}})
 	if crashesCounted(f) != 1 {
