A crash that another gateway has seen counts against what was lost here

What callers would see: a request whose caller leaves just before the endpoint crashes is recorded as lost, but its gateway checks nothing for a caller that left, and no other request of that gateway meets the crash; it is sent again as if nothing had happened. The same after a check whose packets are all lost.

Cause: each gateway counted only the crashes that it could confirm itself, though others tell it which processes have crashed.

Evidence: TestCrashSeenByAnotherGatewayCountsAgainstOwnLosses failed (0 crashes counted, want 1).

--- a/experimenter/internal/prover/crash_simulation.go
+++ b/experimenter/internal/prover/crash_simulation.go
@@ -214,7 +214,7 @@
 		return
 	}
 	for _, suspicion := range quarantiner.DecodeSuspicions(encoded) {
-		to.tracker.Suspects.Merge(suspicion, s.now)
+		to.tracker.Merge(suspicion, s.now)
 	}
 }
 
--- a/fleet/quarantiner/crash_tracker.go
+++ b/fleet/quarantiner/crash_tracker.go
@@ -85,6 +85,19 @@
 	return blamed
 }
 
+// Merge takes in what another gateway tells of a suspect. A crash that the other gateway has seen also counts against the requests
+// that were lost here at the same process within blameWindow. Merge reports whether what is counted against the suspect has
+// changed, and returns the suspects of requests that were lost here that a crash was counted against.
+func (t *CrashTracker) Merge(s Suspicion, now timekeeper.Millis) (hasChanged bool, blamed []Suspect) {
+	for _, c := range s.Crashes {
+		if _, ok := t.endpoints[c]; ok {
+			blamed = append(blamed, t.RecordCrash(c, now)...)
+		}
+	}
+
+	return t.Suspects.Merge(s, now), blamed
+}
+
 // blame counts a crash against suspects and returns those that it was not counted against before.
 func (t *CrashTracker) blame(c CrashID, suspects []Suspect, now timekeeper.Millis) []Suspect {
 	return slices.DeleteFunc(slices.Clone(suspects), func(s Suspect) bool { return !t.Suspects.Add(s.ID, c, now) })
--- a/fleet/quarantiner/crash_tracker_test.go
+++ b/fleet/quarantiner/crash_tracker_test.go
@@ -64,7 +64,7 @@
 		encoded := EncodeSuspicions(from.Suspects.Share(1<<20, now))
 		for _, to := range trackers {
 			for _, s := range DecodeSuspicions(encoded) {
-				to.Suspects.Merge(s, now)
+				to.Merge(s, now)
 			}
 		}
 	}
@@ -148,3 +148,20 @@
 		t.Fatal("refused the part for another model")
 	}
 }
+
+// A gateway that lost a request and could not see the crash must learn of it from a gateway that did.
+func TestCrashSeenByAnotherGatewayCountsAgainstOwnLosses(t *testing.T) {
+	culprit, beside := Suspect{1, KindRequest}, Suspect{2, KindRequest}
+	trackers := []*CrashTracker{NewCrashTracker(), NewCrashTracker()}
+	trackers[0].RecordLost(7, []Suspect{culprit}, 0)
+	trackers[0].RecordLost(8, []Suspect{beside}, 0)
+	trackers[1].RecordLost(7, []Suspect{beside}, 0)
+	trackers[1].RecordCrash(7, 10)
+	shareAll(trackers, 200)
+	if n := trackers[0].Suspects.Crashes(culprit.ID, 300); n != 1 {
+		t.Errorf("%d crashes counted against the request lost there, want 1", n)
+	}
+	if n := trackers[0].Suspects.Crashes(beside.ID, 300); n != 1 {
+		t.Errorf("%d crashes counted against the request beside it, want 1", n)
+	}
+}
--- a/router/internal/forwarder/crash.go
+++ b/router/internal/forwarder/crash.go
@@ -101,7 +101,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	blamed := f.crashTracker.RecordLost(crashID(e), suspects, f.clock.Now())
-	f.logBlamed(e.ID, blamed)
+	f.logBlamed(logger.String("endpoint", e.ID), blamed)
 }
 
 // recordCrash counts the crash of an endpoint against the requests that were lost there.
@@ -112,18 +112,19 @@
 	if len(blamed) > 0 {
 		endpointCrashes.Inc()
 	}
-	f.logBlamed(e.ID, blamed)
+	f.logBlamed(logger.String("endpoint", e.ID), blamed)
 }
 
-// logBlamed logs the suspects that a crash was counted against. f.mu must be held.
-func (f *Forwarder) logBlamed(id model.EndpointID, blamed []quarantiner.Suspect) {
+// logBlamed logs the suspects that a crash was counted against; source names the endpoint, or the gateway that has seen the crash.
+// f.mu must be held.
+func (f *Forwarder) logBlamed(source logger.Field, blamed []quarantiner.Suspect) {
 	for _, s := range blamed {
 		crashes := f.crashTracker.Suspects.Crashes(s.ID, f.clock.Now())
 		event := logger.EventRequestSuspected
 		if crashes >= s.Threshold() {
 			event = logger.EventRequestQuarantined
 		}
-		f.log.Write(event, logger.String("endpoint", id), logger.String("kind", s.Kind),
+		f.log.Write(event, source, logger.String("kind", s.Kind),
 			logger.Hex("suspect", uint64(s.ID)), logger.Int("crashes", crashes))
 	}
 }
@@ -175,7 +176,9 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	for _, s := range suspicions {
-		if !f.crashTracker.Suspects.Merge(s, now) {
+		hasChanged, blamed := f.crashTracker.Merge(s, now)
+		f.logBlamed(logger.String("gateway", gateway), blamed)
+		if !hasChanged {
 			continue
 		}
 		event := logger.EventSuspectLearned
