--- a/experimenter/internal/prover/crash_simulation_test.go
+++ b/experimenter/internal/prover/crash_simulation_test.go
@@ -31,3 +31,11 @@
 		})
 	}
 }
+
+// The bound must hold even if all gateways that remember the crashes are restarted.
+func TestCrashersWhileAllGatewaysForget(t *testing.T) {
+	const seed = 1873
+	if v := RunCrashSimulation(NewChooser(seed), CrashVariant{RestartsAny: true}); v != nil {
+		t.Fatal(v)
+	}
+}
--- a/experimenter/internal/prover/prover.go
+++ b/experimenter/internal/prover/prover.go
@@ -85,7 +85,7 @@
 		},
 		{
 			Name:   "what crashes endpoints stays away",
-			Faults: "gateways cut off from each other, restart, two crashing requests or prompt parts, sound requests that share parts",
+			Faults: "gateways cut off from each other, restart (not all that remember), two crashing requests or prompt parts, sound requests that share parts",
 			Run:    func(c Chooser) *Violation { return RunCrashSimulation(c, CrashVariant{}) },
 		},
 	}
