--- a/experimenter/internal/launcher/crash_traffic_test.go
+++ b/experimenter/internal/launcher/crash_traffic_test.go
@@ -59,6 +59,17 @@
 	}
 }
 
+// newCrasherCall returns a request without its gateway; an empty prompt is the usual one.
+func newCrasherCall(body, prompt string) *gatewayCall {
+	c := newGatewayCall(nil, http.MethodPost, editsPath).asStream()
+	c.body = body
+	if prompt != "" {
+		c.headers["Cardamompulley-Prompt-Prefix"] = prompt
+	}
+
+	return c
+}
+
 // gateway returns the gateway of the n-th request.
 func (c *crashTraffic) gateway(n int) *launcher.Process {
 	if current := c.gateways.Load(); current != nil {
--- a/experimenter/internal/launcher/gateway_crash_test.go
+++ b/experimenter/internal/launcher/gateway_crash_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -50,10 +49,7 @@
 			t.Parallel()
 			f, site := launchCrashSite(t, x.gateways, x.stage, text)
 			traffic := &crashTraffic{fleet: f, soundEvery: 40 * time.Millisecond, crashEvery: x.every, newCrasher: func(int) *gatewayCall {
-				c := newGatewayCall(nil, http.MethodPost, editsPath).asStream()
-				c.body = text
-
-				return c
+				return newCrasherCall(text, "")
 			}}
 			traffic.run(t.Context(), 14*time.Second)
 			crashes, late := site.lateArrivals(text, crashesOfRequest, contactTime)
@@ -94,11 +90,7 @@
 			t.Parallel()
 			f, site := launchCrashSite(t, x.gateways, x.stage, part)
 			traffic := &crashTraffic{fleet: f, soundEvery: 40 * time.Millisecond, crashEvery: x.every, newCrasher: func(n int) *gatewayCall {
-				c := newGatewayCall(nil, http.MethodPost, editsPath).asStream()
-				c.body = fmt.Sprintf("body %d", n)
-				c.headers["Cardamompulley-Prompt-Prefix"] = x.prompt(n)
-
-				return c
+				return newCrasherCall(fmt.Sprintf("body %d", n), x.prompt(n))
 			}}
 			traffic.run(t.Context(), 16*time.Second)
 			crashes, late := site.lateArrivals(part, crashesOfPart, contactTime)
@@ -117,15 +109,11 @@
 	f, site := launchCrashSite(t, 4, crashAfterHead, body, part)
 	traffic := &crashTraffic{fleet: f, soundEvery: 40 * time.Millisecond, crashEvery: 150 * time.Millisecond}
 	traffic.newCrasher = func(n int) *gatewayCall {
-		c := newGatewayCall(nil, http.MethodPost, editsPath).asStream()
 		if n%2 == 0 {
-			c.body = body
-		} else {
-			c.body = fmt.Sprintf("body %d", n)
-			c.headers["Cardamompulley-Prompt-Prefix"] = fmt.Sprintf("a1:50,%s:50,%x:20", part, 0xe0000+n)
+			return newCrasherCall(body, "")
 		}
 
-		return c
+		return newCrasherCall(fmt.Sprintf("body %d", n), fmt.Sprintf("a1:50,%s:50,%x:20", part, 0xe0000+n))
 	}
 	current := slices.Clone(f.Gateways)
 	traffic.gateways.Store(&current)
--- a/fleet/quarantiner/crash_tracker.go
+++ b/fleet/quarantiner/crash_tracker.go
@@ -21,8 +21,8 @@
 	lostAt   timekeeper.Millis
 }
 
-// endpointLosses holds the requests that were lost at one process of an endpoint.
-type endpointLosses struct {
+// processLosses holds the requests that were lost at one process of an endpoint.
+type processLosses struct {
 	lost []lostRequest
 	// crashedAt is the time at which the process was found to have crashed. It is valid if hasCrashed is true.
 	crashedAt  timekeeper.Millis
@@ -39,7 +39,8 @@
 	// Suspects holds the crashes that this gateway and others have counted.
 	Suspects *SuspectTable
 
-	endpoints map[CrashID]*endpointLosses
+	// processes holds the losses by the crash that the process would end with.
+	processes map[CrashID]*processLosses
 }
 
 // NewCrashTracker returns a tracker without losses.
@@ -47,7 +48,7 @@
 	return &CrashTracker{
 		FleetSize: func() int { return 1 },
 		Suspects:  NewSuspectTable(),
-		endpoints: map[CrashID]*endpointLosses{},
+		processes: map[CrashID]*processLosses{},
 	}
 }
 
@@ -90,7 +91,7 @@
 // changed, and returns the suspects of requests that were lost here that a crash was counted against.
 func (t *CrashTracker) Merge(s Suspicion, now timekeeper.Millis) (hasChanged bool, blamed []Suspect) {
 	for _, c := range s.Crashes {
-		if _, ok := t.endpoints[c]; ok {
+		if _, ok := t.processes[c]; ok {
 			blamed = append(blamed, t.RecordCrash(c, now)...)
 		}
 	}
@@ -104,11 +105,11 @@
 }
 
 // losses returns what was lost within blameWindow at the process that ends with a crash.
-func (t *CrashTracker) losses(c CrashID, now timekeeper.Millis) *endpointLosses {
-	e, ok := t.endpoints[c]
+func (t *CrashTracker) losses(c CrashID, now timekeeper.Millis) *processLosses {
+	e, ok := t.processes[c]
 	if !ok {
-		e = &endpointLosses{}
-		t.endpoints[c] = e
+		e = &processLosses{}
+		t.processes[c] = e
 	}
 	for len(e.lost) > 0 && now-e.lost[0].lostAt > blameWindow {
 		e.lost = e.lost[1:]
@@ -120,9 +121,9 @@
 
 // Expire forgets the endpoints at which nothing was lost within blameWindow.
 func (t *CrashTracker) Expire(now timekeeper.Millis) {
-	for c := range t.endpoints {
+	for c := range t.processes {
 		if e := t.losses(c, now); len(e.lost) == 0 && !e.hasCrashed {
-			delete(t.endpoints, c)
+			delete(t.processes, c)
 		}
 	}
 }
