The store of the stand-ins comes back from a copy

Why: no test could play the drill that the users describe (the store loses the latest writes, gives revisions out again, answers 410 to a watch from one that it does not have, raises its era). POST /copy and POST /restore play it, as often as wanted, and two tests show it.

--- a/standin/internal/storekeeper/store.go
+++ b/standin/internal/storekeeper/store.go
@@ -17,6 +17,9 @@
 // pageSize is the maximum number of items in a range response.
 const pageSize = 50
 
+// headerEra carries the era of the store in every answer.
+const headerEra = "Store-Era"
+
 // Item is an entry or a change event of the store in its JSON form. A deletion is an event with Tombstone set.
 type Item struct {
 	Key       string `json:"key"`
@@ -43,17 +46,19 @@
 	Events   []Item `json:"events,omitempty"`
 	HasMore  bool   `json:"has-more"`
 	Revision uint64 `json:"current-rev"`
+	// era is the store's era when the response was made.
+	era uint64
 }
 
 // Store is a stand-in for the platform's key-value store.
 type Store struct {
-	mu       sync.Mutex
-	items    map[string]Item
-	events   []Item
-	revision uint64
-	// compactedRevision is the revision up to which the history of events has been removed.
-	compactedRevision uint64
-	faults            Faults
+	mu sync.Mutex
+	content
+	// copied is what Restore brings back.
+	copied content
+	// era is the number of times that the store was restored, plus one.
+	era    uint64
+	faults Faults
 	// readerCalls counts the read requests.
 	readerCalls int
 	// changed is closed and replaced when an item or the faults change.
@@ -62,7 +67,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]Item{}, changed: make(chan struct{})}
+	return &Store{content: newContent(), copied: newContent(), era: 1, changed: make(chan struct{})}
 }
 
 // Handler returns the HTTP handler of the store. The /kv- paths are the store's read API; the others control the stand-in.
@@ -76,6 +81,8 @@
 	mux.HandleFunc("PUT /faults", s.handleFaults)
 	mux.HandleFunc("GET /calls", s.handleCallCount)
 	mux.HandleFunc("POST /compact", func(http.ResponseWriter, *http.Request) { s.Compact() })
+	mux.HandleFunc("POST /copy", func(http.ResponseWriter, *http.Request) { s.Copy() })
+	mux.HandleFunc("POST /restore", func(http.ResponseWriter, *http.Request) { s.Restore() })
 
 	return mux
 }
@@ -86,6 +93,7 @@
 		s.mu.Lock()
 		f := s.faults
 		s.readerCalls++
+		w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		switch {
 		case f.HangRequests:
@@ -124,7 +132,7 @@
 func (s *Store) handleRange(w http.ResponseWriter, r *http.Request) {
 	prefix, afterKey := r.URL.Query().Get("prefix"), r.URL.Query().Get("start-after")
 	s.mu.Lock()
-	result := response{Revision: s.revision}
+	result := response{Revision: s.revision, era: s.era}
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) && key > afterKey {
 			result.Entries = append(result.Entries, item)
@@ -135,7 +143,7 @@
 	if len(result.Entries) > pageSize {
 		result.Entries, result.HasMore = result.Entries[:pageSize], true
 	}
-	writeJSON(w, result)
+	writeResponse(w, result)
 }
 
 func (s *Store) handleWatch(w http.ResponseWriter, r *http.Request) {
@@ -153,21 +161,22 @@
 
 			return
 		}
-		result, isCompacted, changed := s.eventsSince(q.Get("prefix"), afterRevision)
-		if isCompacted {
+		result, isGone, changed := s.eventsSince(q.Get("prefix"), afterRevision)
+		if isGone {
+			w.Header().Set(headerEra, strconv.FormatUint(result.era, 10))
 			w.WriteHeader(http.StatusGone)
 
 			return
 		}
 		if len(result.Events) > 0 {
-			writeJSON(w, result)
+			writeResponse(w, result)
 
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			writeJSON(w, result)
+			writeResponse(w, result)
 
 			return
 		case <-r.Context().Done():
@@ -176,19 +185,21 @@
 	}
 }
 
-// eventsSince returns the events of a prefix after a revision, whether some of them have been compacted away, and a channel
+// eventsSince returns the events of a prefix after a revision, whether the store does not have that history, and a channel
 // that is closed at the next change.
 func (s *Store) eventsSince(prefix string, afterRevision uint64) (response, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	result := response{Revision: s.revision}
+	result := response{Revision: s.revision, era: s.era}
 	for _, e := range s.events {
 		if e.Revision > afterRevision && strings.HasPrefix(e.Key, prefix) {
 			result.Events = append(result.Events, e)
 		}
 	}
 
-	return result, afterRevision < s.compactedRevision, s.changed
+	isGone := afterRevision < s.compactedRevision || afterRevision > s.revision
+
+	return result, isGone, s.changed
 }
 
 // Put writes an item at the next revision.
@@ -225,6 +236,24 @@
 	s.compactedRevision = s.revision
 }
 
+// Copy keeps the items, the history and the revision for Restore.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = s.content.clone()
+}
+
+// Restore brings back what the last Copy kept, so that everything written since is lost and its revisions are used again. It
+// raises the era by one and wakes waiting watches.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.content = s.copied.clone()
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // SetFaults replaces the injected faults and wakes waiting watches.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
@@ -258,6 +287,12 @@
 	s.SetFaults(f)
 }
 
+// writeResponse writes a response with the era in which it was made.
+func writeResponse(w http.ResponseWriter, r response) {
+	w.Header().Set(headerEra, strconv.FormatUint(r.era, 10))
+	writeJSON(w, r)
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	// A write error means that the client has disconnected.
