A gateway logs and counts that the store has come back from a copy

Why: nothing told a store that restarts from a store that lost writes. No decision uses it: items carry their position, and the replica orders by revision alone as before.

--- a/experimenter/internal/prover/fake_store.go
+++ b/experimenter/internal/prover/fake_store.go
@@ -27,7 +27,7 @@
 
 func (s *fakeStore) put(key string) uint64 {
 	s.revision++
-	s.items[key] = replicator.Item{Key: key, Revision: s.revision}
+	s.items[key] = replicator.Item{Key: key, Position: replicator.Position{Revision: s.revision}}
 	s.changes = append(s.changes, s.items[key])
 
 	return s.revision
@@ -36,7 +36,7 @@
 func (s *fakeStore) delete(key string) {
 	s.revision++
 	delete(s.items, key)
-	s.changes = append(s.changes, replicator.Item{Key: key, Revision: s.revision, IsDeleted: true})
+	s.changes = append(s.changes, replicator.Item{Key: key, Position: replicator.Position{Revision: s.revision}, IsDeleted: true})
 }
 
 // read returns the items whose keys have a prefix, in any order.
--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -31,6 +31,7 @@
 	EventGatewayReachable         = Event{214, "gateway-regained", levelInfo, "Another gateway responds again."}
 	EventDomainOutOfService       = Event{215, "domain-out", levelInfo, "Operators have taken a failure domain out of service."}
 	EventDomainInService          = Event{216, "domain-in", levelInfo, "A failure domain is back in service."}
+	EventStoreRestored            = Event{217, "store-restored", levelWarn, "The platform's store has come back from a copy: it lacks the latest changes and uses their revisions again."}
 	EventEndpointAdded            = Event{220, "endpoint-added", levelInfo, "An endpoint was added to the endpoint list."}
 	EventEndpointRemoved          = Event{221, "endpoint-removed", levelInfo, "An endpoint was removed from the endpoint list."}
 	EventEndpointUnreadable       = Event{222, "endpoint-unreadable", levelWarn, "An entry of the endpoint list is invalid and was ignored."}
@@ -64,7 +65,7 @@
 		EventConfigAccepted, EventConfigInvalid, EventConfigConflict, EventConfigServiceUnreachable,
 		EventPeerExchangeFailed, EventVMListUnreachable, EventProcessRefused,
 		EventStoreUnreachable, EventStoreReachable, EventRangeReplaced, EventGatewayUnreachable, EventGatewayReachable,
-		EventDomainOutOfService, EventDomainInService, EventEndpointAdded, EventEndpointRemoved, EventEndpointUnreadable,
+		EventDomainOutOfService, EventDomainInService, EventStoreRestored, EventEndpointAdded, EventEndpointRemoved, EventEndpointUnreadable,
 		EventEndpointDown, EventEndpointUp, EventEndpointCold, EventEndpointDraining, EventOutlierDetected, EventOutlierRecovered,
 		EventRequestSuspected, EventRequestQuarantined, EventSuspectLearned, EventSuspectCleared,
 		EventResponseMismatch, EventIncompleteResponse, EventRetryBudgetExhausted,
--- a/fleet/replicator/replica.go
+++ b/fleet/replicator/replica.go
@@ -17,9 +17,10 @@
 
 // Item is an entry of the store, or the deletion of one.
 type Item struct {
-	Key       string
-	Value     []byte
-	Revision  uint64
+	Key   string
+	Value []byte
+	// Position is that of the item's last change.
+	Position
 	IsDeleted bool
 }
 
@@ -106,7 +107,7 @@
 	}
 	for key := range r.items {
 		if !present[key] {
-			changed = r.remove(Item{Key: key, Revision: revision, IsDeleted: true}, now) || changed
+			changed = r.remove(Item{Key: key, Position: Position{Revision: revision}, IsDeleted: true}, now) || changed
 		}
 	}
 	r.hasSynced = true
--- a/fleet/replicator/replica_test.go
+++ b/fleet/replicator/replica_test.go
@@ -10,11 +10,11 @@
 )
 
 func put(key string, revision uint64) Item {
-	return Item{Key: key, Value: []byte{1}, Revision: revision}
+	return Item{Key: key, Value: []byte{1}, Position: Position{Revision: revision}}
 }
 
 func deletion(key string, revision uint64) Item {
-	return Item{Key: key, Revision: revision, IsDeleted: true}
+	return Item{Key: key, Position: Position{Revision: revision}, IsDeleted: true}
 }
 
 func holds(r *Replica, key string) bool {
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -49,8 +49,10 @@
 	endpointReplica *replicator.Replica
 	// isStoreUnreachable is true while the store does not answer.
 	isStoreUnreachable bool
-	decoded            *decodedState
-	startedAt          timekeeper.Millis
+	// storePosition is that of the store's last answer.
+	storePosition replicator.Position
+	decoded       *decodedState
+	startedAt     timekeeper.Millis
 }
 
 // NewGateway returns a gateway without a view; it is not ready until Run has obtained one.
--- a/router/internal/gateway/handlers.go
+++ b/router/internal/gateway/handlers.go
@@ -22,6 +22,14 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		metrics.WritePrometheus(w, true)
 		// An error means that the client has disconnected.
-		_, _ = fmt.Fprintf(w, "control_bytes_total %d\n", g.controlTraffic.Total())
+		_, _ = fmt.Fprintf(w, "control_bytes_total %d\n%s", g.controlTraffic.Total(), g.storeMetrics())
 	})
 }
+
+// storeMetrics returns the gauges of the store's era and revision.
+func (g *Gateway) storeMetrics() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return fmt.Sprintf("gateway_store_era %d\ngateway_store_revision %d\n", g.storePosition.Era, g.storePosition.Revision)
+}
--- a/router/internal/gateway/range_copies.go
+++ b/router/internal/gateway/range_copies.go
@@ -38,7 +38,7 @@
 	items := make([]replicator.Item, 0, len(c.Items))
 	for _, item := range c.Items {
 		items = append(items, replicator.Item{
-			Key: item.Key, Value: item.Value, Revision: item.Revision, IsDeleted: item.Deleted,
+			Key: item.Key, Value: item.Value, Position: replicator.Position{Revision: item.Revision}, IsDeleted: item.Deleted,
 		})
 	}
 	p.gateway.updateReplica("peer "+name, r, func(now timekeeper.Millis) bool {
--- a/router/internal/gateway/range_copies_test.go
+++ b/router/internal/gateway/range_copies_test.go
@@ -11,7 +11,7 @@
 // always lacks some change that it is about to receive from the store.
 func TestRangesAreCopiedOnlyOnRequest(t *testing.T) {
 	r := replicator.NewReplica(0)
-	r.Replace([]replicator.Item{{Key: "a", Revision: 7}}, 9, 0)
+	r.Replace([]replicator.Item{{Key: "a", Position: replicator.Position{Revision: 7}}}, 9, 0)
 	cases := []struct {
 		name   string
 		theirs *messenger.RangeState
--- a/router/internal/gateway/store_sync.go
+++ b/router/internal/gateway/store_sync.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/replicator"
 	"cardamompulley/fleet/timekeeper"
@@ -23,6 +25,8 @@
 	batchDelay = 250 * timekeeper.Millis(1)
 )
 
+var storeRestores = metrics.NewCounter("gateway_store_restores_total")
+
 // storeRange is a key range of the store and the replica that follows it.
 type storeRange struct {
 	prefix  string
@@ -98,10 +102,11 @@
 	if err != nil {
 		return err
 	}
+	g.recordStorePosition(asOf)
 	g.updateReplica(r.prefix, r.replica, func(now timekeeper.Millis) bool {
 		r.replica.RecordContact(now)
 
-		return r.replica.Replace(items, asOf, now)
+		return r.replica.Replace(items, asOf.Revision, now)
 	})
 
 	return nil
@@ -115,11 +120,12 @@
 		after = min(after, r.replica.SyncedRevision())
 	}
 	g.mu.Unlock()
-	events, asOf, err := g.store.Watch(ctx, after, timekeeper.Millis(watchWaitFraction*float64(g.settings.RecoveryTime)))
+	events, asOf, err := g.store.Watch(ctx, replicator.Position{Revision: after}, timekeeper.Millis(watchWaitFraction*float64(g.settings.RecoveryTime)))
 	if err != nil {
 		return err
 	}
-	g.applyEvents(ranges, events, asOf)
+	g.recordStorePosition(asOf)
+	g.applyEvents(ranges, events, asOf.Revision)
 	if len(events) > 0 {
 		timekeeper.Sleep(ctx, batchDelay)
 	}
@@ -127,6 +133,21 @@
 	return nil
 }
 
+// recordStorePosition records where the store was when it answered, and logs when it has come back from a copy.
+func (g *Gateway) recordStorePosition(p replicator.Position) {
+	g.mu.Lock()
+	previous := g.storePosition
+	g.storePosition = p
+	g.mu.Unlock()
+	if previous.Era == 0 || previous.Era == p.Era {
+		return
+	}
+	storeRestores.Inc()
+	g.log.Write(logger.EventStoreRestored,
+		logger.Int("era", p.Era), logger.Int("revision", p.Revision),
+		logger.Int("previous-era", previous.Era), logger.Int("previous-revision", previous.Revision))
+}
+
 // applyEvents applies to each replica the events in its range.
 func (g *Gateway) applyEvents(ranges []*storeRange, events []replicator.Item, asOf uint64) {
 	for _, r := range ranges {
