--- a/experimenter/internal/launcher/gateway_fleet.go
+++ b/experimenter/internal/launcher/gateway_fleet.go
@@ -153,9 +153,15 @@
 // PublishConfiguration writes the next version of the configuration, in which the client account has the given API keys.
 func (f *GatewayFleet) PublishConfiguration(apiKeys ...string) error {
 	f.configurationVersion++
+
+	return f.WriteConfiguration(f.configurationVersion, apiKeys...)
+}
+
+// WriteConfiguration writes a version of the configuration, which may have been written before.
+func (f *GatewayFleet) WriteConfiguration(v model.Version, apiKeys ...string) error {
 	options := imitator.ConfigurationOptions{Host: GatewayHost, Account: gatewayAccount, APIKeys: apiKeys}
 
-	return f.PutItem(imitator.KeyConfiguration, imitator.Configuration(f.configurationVersion, options))
+	return f.PutItem(imitator.KeyConfiguration, imitator.Configuration(v, options))
 }
 
 // StartGateway starts another gateway without waiting until it is ready. Gateways after the first use the first one as their
@@ -237,6 +243,16 @@
 	return callStandIn(http.MethodPut, f.Store, "/faults", []byte(faults))
 }
 
+// CopyStore lets the store keep a copy of its content for RestoreStore.
+func (f *GatewayFleet) CopyStore() error {
+	return callStandIn(http.MethodPost, f.Store, "/copy", nil)
+}
+
+// RestoreStore lets the store come back from its copy, in a new era.
+func (f *GatewayFleet) RestoreStore() error {
+	return callStandIn(http.MethodPost, f.Store, "/restore", nil)
+}
+
 // SetEndpointFaults replaces the faults of an endpoint, given as JSON.
 func (f *GatewayFleet) SetEndpointFaults(id model.EndpointID, faults string) error {
 	return callStandIn(http.MethodPut, f.Endpoints[id], "/standin/faults", []byte(faults))
--- /dev/null
+++ b/experimenter/internal/launcher/gateway_restored_store_test.go
@@ -0,0 +1,207 @@
+package launcher_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cardamompulley/experimenter/internal/launcher"
+	"cardamompulley/fleet/model"
+	"cardamompulley/platform/imitator"
+)
+
+const (
+	// changeBound is the time within which a confirmed change is in force.
+	changeBound = 2 * time.Second
+	// storeCallsPerSecond is what a store that serves 2,000 calls a second leaves for each of 410 gateways.
+	storeCallsPerSecond = 5
+	// restoreDuration is how long the store is away in a drill.
+	restoreDuration = 700 * time.Millisecond
+	addedKey        = "added-key"
+	withdrawnKey    = launcher.GatewayAPIKey
+	lastingKey      = "lasting-key"
+)
+
+// drillSite is a fleet of gateways with plain endpoints in two failure domains. The first domain is evacuated in a drill.
+type drillSite struct {
+	*launcher.GatewayFleet
+
+	t *testing.T
+}
+
+func launchDrillSite(t *testing.T, gateways int) *drillSite {
+	t.Helper()
+	s := &drillSite{t: t, GatewayFleet: launchGateways(t, func(s *launcher.GatewaySpec) {
+		s.Gateways, s.Engines, s.PlainEndpoints = gateways, 0, 0
+	})}
+	for n, domain := range []int{0, 0, 1, 1, 1, 1} {
+		must(t, s.StartEndpoint(drillEndpoint(n), imitator.ServiceRecords, domain))
+	}
+	must(t, s.PublishConfiguration(withdrawnKey, lastingKey))
+	s.waitForAll("the API keys are accepted", changeBound, func(g *launcher.Process) bool {
+		return statusWith(t, g, lastingKey) == http.StatusOK
+	})
+	s.waitForAll("every endpoint of the gateways' domain is used", changeBound, func(g *launcher.Process) bool {
+		served := s.servedBy(g, lastingKey)
+
+		return served[drillEndpoint(0)] && served[drillEndpoint(1)]
+	})
+
+	return s
+}
+
+func drillEndpoint(n int) model.EndpointID {
+	return model.EndpointID(fmt.Sprintf("plain-%d", n+1))
+}
+
+// restore lets the store go away for a moment and come back from its copy.
+func (s *drillSite) restore() {
+	must(s.t, s.SetStoreFaults(`{"reset": true}`))
+	time.Sleep(restoreDuration)
+	must(s.t, s.RestoreStore())
+	must(s.t, s.SetStoreFaults(`{}`))
+}
+
+// writeUnrelated writes an item that no gateway uses several times.
+func (s *drillSite) writeUnrelated(times int) {
+	for range times {
+		must(s.t, s.PutItem("other/item", map[string]any{}))
+	}
+}
+
+// statusWith returns the status of a request with an API key.
+func statusWith(t *testing.T, g *launcher.Process, key string) int {
+	t.Helper()
+	c := newGatewayCall(g, http.MethodGet, lookupsPath)
+	c.headers["Cardamompulley-Key"] = key
+
+	return c.mustSend(t).status
+}
+
+// servedBy sends requests at once and returns the endpoints that served any.
+func (s *drillSite) servedBy(g *launcher.Process, key string) map[model.EndpointID]bool {
+	const requests = 24
+	var mu sync.Mutex
+	var w sync.WaitGroup
+	served := map[model.EndpointID]bool{}
+	failures := 0
+	for range requests {
+		c := newGatewayCall(g, http.MethodGet, lookupsPath)
+		c.headers["Cardamompulley-Key"] = key
+		w.Go(func() {
+			r := c.send(s.t.Context())
+			mu.Lock()
+			defer mu.Unlock()
+			if r.err != nil || r.status != http.StatusOK {
+				failures++
+
+				return
+			}
+			id, _ := strings.CutPrefix(r.header.Get("Cardamompulley-Response-Signature"), "signed-by-")
+			served[model.EndpointID(id)] = true
+		})
+	}
+	w.Wait()
+	if failures > 0 {
+		s.t.Errorf("%s did not serve %d of %d requests", g.Name, failures, requests)
+	}
+
+	return served
+}
+
+// waitForAll waits until a condition is met at each gateway.
+func (s *drillSite) waitForAll(condition string, bound time.Duration, isMet func(*launcher.Process) bool) {
+	s.t.Helper()
+	waitFor(s.t, condition, bound, func() bool {
+		for _, g := range s.Gateways {
+			if !isMet(g) {
+				return false
+			}
+		}
+
+		return true
+	})
+}
+
+// Guards against gateways that ignore what changes after a drill, lose what they knew before it, or flood the store.
+func TestGatewaysFollowStoreThatCameBackFromCopy(t *testing.T) {
+	cases := []struct {
+		gateways   int
+		lostWrites int
+		// startsLate adds a gateway once the lost writes have been repeated.
+		startsLate bool
+	}{
+		{1, 60, false}, {3, 3, false}, {3, 200, false}, {3, 200, true},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%d gateways, %d lost writes, one more: %v", c.gateways, c.lostWrites, c.startsLate), func(t *testing.T) {
+			s := launchDrillSite(t, c.gateways)
+			writeOperatorChanges := func() {
+				must(t, s.WriteConfiguration(3, lastingKey))
+				must(t, s.EvacuateDomain(0))
+			}
+			must(t, s.CopyStore())
+			writeOperatorChanges()
+			s.writeUnrelated(c.lostWrites)
+			s.waitForAll("the key is withdrawn", changeBound, func(g *launcher.Process) bool {
+				return statusWith(t, g, withdrawnKey) == http.StatusUnauthorized
+			})
+			s.restore()
+			before := storeCallCount(t, s.GatewayFleet)
+			const checks = 10
+			for n := range checks {
+				if n == checks/2 {
+					writeOperatorChanges()
+				}
+				s.checkDrillState()
+				time.Sleep(time.Second / checks)
+			}
+			if calls := storeCallCount(t, s.GatewayFleet) - before; calls > c.gateways*storeCallsPerSecond*2 {
+				t.Errorf("%d calls to the store in about a second after it came back", calls)
+			}
+			if c.startsLate {
+				_, err := s.StartGateway()
+				must(t, err)
+				must(t, s.WaitUntilReady())
+			}
+			s.checkChangesAfterDrill()
+		})
+	}
+}
+
+// checkDrillState checks that the withdrawn key is refused, the lasting one accepted and the evacuated domain unused.
+func (s *drillSite) checkDrillState() {
+	s.t.Helper()
+	for _, g := range s.Gateways {
+		if got := statusWith(s.t, g, withdrawnKey); got != http.StatusUnauthorized {
+			s.t.Errorf("%s answers %d to the withdrawn key", g.Name, got)
+		}
+		if served := s.servedBy(g, lastingKey); served[drillEndpoint(0)] || served[drillEndpoint(1)] {
+			s.t.Errorf("%s uses the evacuated domain: %v", g.Name, served)
+		}
+	}
+}
+
+// checkChangesAfterDrill checks that a new key, a draining endpoint, a deleted one and the end of an evacuation are in force
+// in time.
+func (s *drillSite) checkChangesAfterDrill() {
+	s.t.Helper()
+	must(s.t, s.WriteConfiguration(4, lastingKey, addedKey))
+	must(s.t, s.RegisterEndpoint(drillEndpoint(2), imitator.ServiceRecords, 1, true))
+	must(s.t, s.DeregisterEndpoint(drillEndpoint(3)))
+	s.waitForAll("the added key is accepted", changeBound, func(g *launcher.Process) bool {
+		return statusWith(s.t, g, addedKey) == http.StatusOK
+	})
+	s.waitForAll("endpoints that have left are not used", changeBound, func(g *launcher.Process) bool {
+		served := s.servedBy(g, addedKey)
+
+		return !served[drillEndpoint(2)] && !served[drillEndpoint(3)]
+	})
+	must(s.t, s.RestoreDomain(0))
+	s.waitForAll("the domain is back in use", changeBound, func(g *launcher.Process) bool {
+		return s.servedBy(g, addedKey)[drillEndpoint(0)]
+	})
+}
