--- a/experimenter/internal/launcher/gateway_restored_store_test.go
+++ b/experimenter/internal/launcher/gateway_restored_store_test.go
@@ -37,14 +37,14 @@
 	s := &drillSite{t: t, GatewayFleet: launchGateways(t, func(s *launcher.GatewaySpec) {
 		s.Gateways, s.Engines, s.PlainEndpoints = gateways, 0, 0
 	})}
-	for n, domain := range []int{0, 0, 1, 1, 1, 1} {
+	for n, domain := range []int{0, 0, 1, 1, 1, 1, 1, 1} {
 		must(t, s.StartEndpoint(drillEndpoint(n), imitator.ServiceRecords, domain))
 	}
 	must(t, s.PublishConfiguration(withdrawnKey, lastingKey))
-	s.waitForAll("the API keys are accepted", changeBound, func(g *launcher.Process) bool {
+	s.waitForAll("the API keys are accepted", func(g *launcher.Process) bool {
 		return statusWith(t, g, lastingKey) == http.StatusOK
 	})
-	s.waitForAll("every endpoint of the gateways' domain is used", changeBound, func(g *launcher.Process) bool {
+	s.waitForAll("every endpoint of the gateways' domain is used", func(g *launcher.Process) bool {
 		served := s.servedBy(g, lastingKey)
 
 		return served[drillEndpoint(0)] && served[drillEndpoint(1)]
@@ -112,10 +112,10 @@
 	return served
 }
 
-// waitForAll waits until a condition is met at each gateway.
-func (s *drillSite) waitForAll(condition string, bound time.Duration, isMet func(*launcher.Process) bool) {
+// waitForAll waits until a condition is met at each gateway, for changeBound at the most.
+func (s *drillSite) waitForAll(condition string, isMet func(*launcher.Process) bool) {
 	s.t.Helper()
-	waitFor(s.t, condition, bound, func() bool {
+	waitFor(s.t, condition, changeBound, func() bool {
 		for _, g := range s.Gateways {
 			if !isMet(g) {
 				return false
@@ -126,6 +126,23 @@
 	})
 }
 
+// A second drill within the time for writing again must not take back what the first one has left in force.
+func TestGatewaysKeepChangesOverDrillsInSeries(t *testing.T) {
+	s := launchDrillSite(t, 3)
+	must(t, s.CopyStore())
+	s.writeChanges()
+	s.waitForAll("the key is withdrawn", func(g *launcher.Process) bool {
+		return statusWith(t, g, withdrawnKey) == http.StatusUnauthorized
+	})
+	for range 3 {
+		s.restore()
+		s.checkDrillState()
+	}
+	s.writeChanges()
+	s.checkDrillState()
+	s.checkChangesAfterDrill()
+}
+
 // Guards against gateways that ignore what changes after a drill, lose what they knew before it, or flood the store.
 func TestGatewaysFollowStoreThatCameBackFromCopy(t *testing.T) {
 	cases := []struct {
@@ -139,14 +156,10 @@
 	for _, c := range cases {
 		t.Run(fmt.Sprintf("%d gateways, %d lost writes, one more: %v", c.gateways, c.lostWrites, c.startsLate), func(t *testing.T) {
 			s := launchDrillSite(t, c.gateways)
-			writeOperatorChanges := func() {
-				must(t, s.WriteConfiguration(3, lastingKey))
-				must(t, s.EvacuateDomain(0))
-			}
 			must(t, s.CopyStore())
-			writeOperatorChanges()
+			s.writeChanges()
 			s.writeUnrelated(c.lostWrites)
-			s.waitForAll("the key is withdrawn", changeBound, func(g *launcher.Process) bool {
+			s.waitForAll("the key is withdrawn", func(g *launcher.Process) bool {
 				return statusWith(t, g, withdrawnKey) == http.StatusUnauthorized
 			})
 			s.restore()
@@ -154,7 +167,7 @@
 			const checks = 10
 			for n := range checks {
 				if n == checks/2 {
-					writeOperatorChanges()
+					s.writeChanges()
 				}
 				s.checkDrillState()
 				time.Sleep(time.Second / checks)
@@ -172,15 +185,27 @@
 	}
 }
 
-// checkDrillState checks that the withdrawn key is refused, the lasting one accepted and the evacuated domain unused.
+// writeChanges withdraws a key and a failure domain; one endpoint begins to drain and another one leaves.
+func (s *drillSite) writeChanges() {
+	must(s.t, s.WriteConfiguration(3, lastingKey))
+	must(s.t, s.EvacuateDomain(0))
+	must(s.t, s.RegisterEndpoint(drillEndpoint(4), imitator.ServiceRecords, 1, true))
+	must(s.t, s.DeregisterEndpoint(drillEndpoint(5)))
+}
+
+// checkDrillState checks that the withdrawn key is refused and the lasting one accepted, and that neither the evacuated domain
+// nor the endpoints that have left are used.
 func (s *drillSite) checkDrillState() {
 	s.t.Helper()
 	for _, g := range s.Gateways {
 		if got := statusWith(s.t, g, withdrawnKey); got != http.StatusUnauthorized {
 			s.t.Errorf("%s answers %d to the withdrawn key", g.Name, got)
 		}
-		if served := s.servedBy(g, lastingKey); served[drillEndpoint(0)] || served[drillEndpoint(1)] {
-			s.t.Errorf("%s uses the evacuated domain: %v", g.Name, served)
+		served := s.servedBy(g, lastingKey)
+		for _, n := range []int{0, 1, 4, 5} {
+			if served[drillEndpoint(n)] {
+				s.t.Errorf("%s uses %s, which is out of use", g.Name, drillEndpoint(n))
+			}
 		}
 	}
 }
@@ -192,16 +217,16 @@
 	must(s.t, s.WriteConfiguration(4, lastingKey, addedKey))
 	must(s.t, s.RegisterEndpoint(drillEndpoint(2), imitator.ServiceRecords, 1, true))
 	must(s.t, s.DeregisterEndpoint(drillEndpoint(3)))
-	s.waitForAll("the added key is accepted", changeBound, func(g *launcher.Process) bool {
+	s.waitForAll("the added key is accepted", func(g *launcher.Process) bool {
 		return statusWith(s.t, g, addedKey) == http.StatusOK
 	})
-	s.waitForAll("endpoints that have left are not used", changeBound, func(g *launcher.Process) bool {
+	s.waitForAll("the endpoints that leave are not used", func(g *launcher.Process) bool {
 		served := s.servedBy(g, addedKey)
 
 		return !served[drillEndpoint(2)] && !served[drillEndpoint(3)]
 	})
 	must(s.t, s.RestoreDomain(0))
-	s.waitForAll("the domain is back in use", changeBound, func(g *launcher.Process) bool {
+	s.waitForAll("the domain is back in use", func(g *launcher.Process) bool {
 		return s.servedBy(g, addedKey)[drillEndpoint(0)]
 	})
 }
--- a/experimenter/internal/prover/gateway_process.go
+++ b/experimenter/internal/prover/gateway_process.go
@@ -14,14 +14,18 @@
 
 // gatewayProcess is one gateway: state machines of the product, with the faults that affect it.
 type gatewayProcess struct {
-	number            int
-	name              string
-	balancer          *balancer.Balancer
-	retryBudget       *budgeter.RetryBudget
-	endpointReplica   *replicator.Replica
-	outageReplica     *replicator.Replica
-	view              *cataloguer.View
-	knownEndpoints    map[string]*cataloguer.Endpoint
+	number          int
+	name            string
+	balancer        *balancer.Balancer
+	retryBudget     *budgeter.RetryBudget
+	endpointReplica *replicator.Replica
+	outageReplica   *replicator.Replica
+	view            *cataloguer.View
+	knownEndpoints  map[string]*knownEndpoint
+	// knownRemoved holds the endpoints that this process has known to have left.
+	knownRemoved map[model.EndpointID]bool
+	// knownOutSince holds the failure domains that this process has known to be out, and since when they were.
+	knownOutSince     map[model.DomainID]timekeeper.Millis
 	running           map[model.EndpointID]int
 	scheduledFinishes []scheduledFinish
 	// startTimes are the start times of all processes of this gateway, including restarts.
@@ -35,6 +39,13 @@
 	nextGossip            timekeeper.Millis
 }
 
+// knownEndpoint is an endpoint as a gateway has decoded it, and the position of its entry.
+type knownEndpoint struct {
+	*cataloguer.Endpoint
+
+	position replicator.Position
+}
+
 // scheduledFinish is the time at which a request running at an endpoint ends.
 type scheduledFinish struct {
 	at       timekeeper.Millis
@@ -60,15 +71,39 @@
 			s.deployment.loadMultiple, name, "domain-0", budgeter.NewMembership(name, seeds, s.now),
 		),
 		retryBudget:     budgeter.NewRetryBudget(s.deployment.retryLimits),
-		endpointReplica: replicator.NewReplica(storeOutageThreshold),
-		outageReplica:   replicator.NewReplica(0),
-		knownEndpoints:  map[string]*cataloguer.Endpoint{},
+		endpointReplica: replicator.NewReplica(s.endpointOptions()),
+		outageReplica:   replicator.NewReplica(s.outageOptions()),
+		knownEndpoints:  map[string]*knownEndpoint{},
+		knownRemoved:    map[model.EndpointID]bool{},
+		knownOutSince:   map[model.DomainID]timekeeper.Millis{},
 		running:         map[model.EndpointID]int{},
 		startTimes:      append(previousStarts, s.now),
 		inSyncSince:     s.now,
 	}
 }
 
+func (s *gatewaySimulation) endpointOptions() replicator.Options {
+	o := replicator.Options{
+		OutageThreshold: storeOutageThreshold, RewriteTime: rewriteTime, RenewalTime: renewalTime, IsOutdated: s.isOutdatedEntry,
+	}
+	if s.variant.DropsMissingAtOnce {
+		o.RewriteTime = 0
+	}
+	if s.variant.TrustsRestoredEntries {
+		o.IsOutdated = nil
+	}
+
+	return o
+}
+
+func (s *gatewaySimulation) outageOptions() replicator.Options {
+	if s.variant.DropsMissingAtOnce {
+		return replicator.Options{}
+	}
+
+	return replicator.Options{RewriteTime: rewriteTime}
+}
+
 // injectGatewayFaults restarts gateways, pauses them, or cuts them off from the store or from other gateways.
 func (s *gatewaySimulation) injectGatewayFaults() {
 	c := s.choose
@@ -116,7 +151,8 @@
 		g.nextGossip = s.now + 125
 		s.exchangeGossip(g, s.gateways[s.choose(len(s.gateways))])
 	}
-	if g.endpointReplica.ApplyDeferredDeletions(s.now) {
+	isOutageChanged := g.outageReplica.ApplyDue(s.now)
+	if g.endpointReplica.ApplyDue(s.now) || isOutageChanged {
 		s.rebuildView(g)
 	}
 	g.balancer.ExpireReports(s.now)
@@ -153,15 +189,34 @@
 	}
 }
 
-// syncReplica updates a replica from the store, by the changes since the last update or sometimes by a full read, and
-// reports whether anything changed.
+// syncReplica updates a replica from the store, by the changes since the last update or, if the store was restored and
+// sometimes without need, by a full read. It reports whether anything changed.
 func (s *gatewaySimulation) syncReplica(replica *replicator.Replica, prefix string) bool {
 	replica.RecordContact(s.now)
-	if !replica.HasSynced() || s.choose.oneIn(20) {
-		return replica.Replace(s.store.read(prefix), s.store.revision, s.now)
+	at := s.positionFor(s.store.position())
+	if !replica.HasSynced() || replica.Synced().Era != at.Era || s.choose.oneIn(20) {
+		return replica.Replace(s.itemsFor(s.store.read(prefix)), at, s.now, s.now)
+	}
+
+	return replica.Apply(s.itemsFor(s.store.changesSince(prefix, replica.Synced().Revision)), at, s.now, s.now)
+}
+
+// positionFor returns a position as gateways see it.
+func (s *gatewaySimulation) positionFor(p replicator.Position) replicator.Position {
+	if s.variant.IgnoresEras {
+		p.Era = 0
 	}
 
-	return replica.Apply(s.store.changesSince(prefix, replica.SyncedRevision()), s.store.revision, s.now)
+	return p
+}
+
+// itemsFor returns items as gateways see them.
+func (s *gatewaySimulation) itemsFor(items []replicator.Item) []replicator.Item {
+	for i := range items {
+		items[i].Position = s.positionFor(items[i].Position)
+	}
+
+	return items
 }
 
 // exchangeGossip sends gossip between two gateways in both directions if they can reach each other.
@@ -186,27 +241,36 @@
 	if contact := from.endpointReplica.LastContact(); contact > 0 {
 		to.endpointReplica.RecordPeerContact(contact)
 	}
+	if since := from.endpointReplica.EraSince(); since > 0 {
+		to.endpointReplica.RecordPeerEra(from.endpointReplica.Synced().Era, since)
+		to.outageReplica.RecordPeerEra(from.endpointReplica.Synced().Era, since)
+	}
 	if s.canReachStore(to) {
 		return
 	}
-	changed := s.copyReplica(from.endpointReplica, to.endpointReplica)
-	changed = s.copyReplica(from.outageReplica, to.outageReplica) || changed
+	readAt := from.endpointReplica.LastContact()
+	if s.variant.TakesCopiesAsFresh {
+		readAt = s.now
+	}
+	changed := s.copyReplica(from.endpointReplica, to.endpointReplica, readAt)
+	changed = s.copyReplica(from.outageReplica, to.outageReplica, readAt) || changed
 	if changed {
 		s.rebuildView(to)
 	}
 }
 
-// copyReplica updates a replica from another gateway's copy and reports whether anything changed.
-func (s *gatewaySimulation) copyReplica(from, to *replicator.Replica) bool {
+// copyReplica updates a replica from another gateway's copy, which the store held at readAt, and reports whether anything
+// changed.
+func (s *gatewaySimulation) copyReplica(from, to *replicator.Replica, readAt timekeeper.Millis) bool {
 	if !from.HasSynced() {
 		return false
 	}
-	revision := from.SyncedRevision()
-	if s.variant.AcceptsStaleCopies {
-		revision = max(revision, to.SyncedRevision())
+	at := from.Synced()
+	if s.variant.AcceptsStaleCopies && at.Compare(to.Synced()) < 0 {
+		at = to.Synced()
 	}
 
-	return to.Replace(from.LiveItems(), revision, s.now)
+	return to.Replace(from.LiveItems(), at, readAt, s.now)
 }
 
 // rebuildView builds the gateway's view from its replicas, once both have synced.
@@ -221,14 +285,14 @@
 	var endpoints []*cataloguer.Endpoint
 	for _, item := range g.endpointReplica.Items() {
 		endpoint, ok := g.knownEndpoints[item.Key]
-		if !ok || endpoint.Revision != item.Revision {
-			entry := s.entries[item.Revision]
-			entry.Revision = item.Revision
+		if !ok || endpoint.position != item.Position {
+			entry := s.entryOf(item)
 			entry.ColdUntil = s.now + entry.ColdRemaining
-			endpoint = &entry
+			endpoint = &knownEndpoint{Endpoint: &entry, position: item.Position}
 			g.knownEndpoints[item.Key] = endpoint
 		}
-		endpoints = append(endpoints, endpoint)
+		endpoints = append(endpoints, endpoint.Endpoint)
 	}
-	g.view = cataloguer.NewView(s.configuration, domainsOut, endpoints, g.endpointReplica.ContentRevision(), s.now)
+	g.view = cataloguer.NewView(s.configuration, domainsOut, endpoints, s.now)
+	s.recordKnownState(g)
 }
--- a/experimenter/internal/prover/gateway_request.go
+++ b/experimenter/internal/prover/gateway_request.go
@@ -128,7 +128,8 @@
 	if e.Service != r.service || slices.Contains(r.tried, e.ID) {
 		s.recordViolation("the right endpoint", "%s of %s was chosen for %s after %v", e.ID, e.Service, r.service, r.tried)
 	}
-	inSyncFor := s.now - r.gateway.inSyncSince
+	s.checkKnownState(r.gateway, e.ID)
+	inSyncFor := s.now - max(r.gateway.inSyncSince, s.storeCompleteAt)
 	if since, isOut := s.domainOutSince[state.domain]; isOut && min(inSyncFor, s.now-since) > syncGracePeriod {
 		s.recordViolation("a domain that is out takes no work", "%s chose %s %d ms after %s was taken out of service",
 			r.gateway.name, e.ID, s.now-since, state.domain)
--- a/experimenter/internal/prover/gateway_simulation.go
+++ b/experimenter/internal/prover/gateway_simulation.go
@@ -22,6 +22,14 @@
 	IgnoresDomainOutages bool
 	// AcceptsStaleCopies accepts another gateway's copy of a range even if it is older than the gateway's own.
 	AcceptsStaleCopies bool
+	// TakesCopiesAsFresh takes another gateway's copy of a range for what the store holds now.
+	TakesCopiesAsFresh bool
+	// IgnoresEras orders what the store says by revision alone.
+	IgnoresEras bool
+	// DropsMissingAtOnce drops what a restored store lacks without giving its owners time to write it again.
+	DropsMissingAtOnce bool
+	// TrustsRestoredEntries uses the entries of endpoints that a restored store brings back although they have left.
+	TrustsRestoredEntries bool
 }
 
 const (
@@ -35,6 +43,14 @@
 	storeOutageThreshold = timekeeper.Second
 	// removalBound is the time after which a gateway that follows the store must not choose a removed endpoint.
 	removalBound = syncGracePeriod + 3*timekeeper.Second
+	// rewriteTime is how long operators and endpoints have to write again what a restored store has lost.
+	rewriteTime = 2 * timekeeper.Second
+	// entryLifetime is how long the store holds an entry that its endpoint does not renew, renewalTime how long gateways wait for
+	// that.
+	entryLifetime = 3 * timekeeper.Second
+	renewalTime   = entryLifetime + timekeeper.Second
+	// quietPeriod is the time without changes and faults after which gateways must know what the store holds.
+	quietPeriod = removalBound + renewalTime
 	// maxRetryWindow is the maximum window of the retry budget.
 	maxRetryWindow = 8 * timekeeper.Second
 )
@@ -80,8 +96,10 @@
 	service    model.ServiceID
 	domain     model.DomainID
 	isDraining bool
-	removedAt  timekeeper.Millis
-	coldUntil  timekeeper.Millis
+	// isDeleted means that the endpoint was removed without draining: its entry was deleted.
+	isDeleted bool
+	removedAt timekeeper.Millis
+	coldUntil timekeeper.Millis
 	// coldArrivals are the times of the requests that reached the endpoint while it was cold.
 	coldArrivals []timekeeper.Millis
 }
@@ -101,15 +119,22 @@
 	configuration  *cataloguer.Configuration
 	store          fakeStore
 	storeDownUntil timekeeper.Millis
-	// entries holds the endpoint entries by the store revision at which they were written.
-	entries     map[uint64]cataloguer.Endpoint
+	// restoresStore is true if the store comes back from its copy at storeDownUntil.
+	restoresStore bool
+	// storeCompleteAt is when operators and endpoints have written again all that the last restore lost.
+	storeCompleteAt timekeeper.Millis
+	scheduledWrites []scheduledWrite
+	// entries holds the endpoint entries by the position of the store at which they were written.
+	entries     map[replicator.Position]cataloguer.Endpoint
 	endpoints   map[model.EndpointID]*endpointState
 	endpointIDs []model.EndpointID
 	// domainOutSince holds the failure domains that are out of service.
 	domainOutSince map[model.DomainID]timekeeper.Millis
-	gateways       []*gatewayProcess
-	traffic        map[model.ServiceID]*serviceTraffic
-	violation      *Violation
+	// outages holds the start of the outage that was written at a position of the store.
+	outages   map[replicator.Position]timekeeper.Millis
+	gateways  []*gatewayProcess
+	traffic   map[model.ServiceID]*serviceTraffic
+	violation *Violation
 }
 
 // RunGatewaySimulation sends requests to the gateways of a random deployment while operators change it and faults occur. It
@@ -120,6 +145,7 @@
 		s.now += stepInterval
 		s.injectGatewayFaults()
 		s.changeDeployment()
+		s.stepStore()
 		for _, g := range s.gateways {
 			s.stepGateway(g)
 		}
@@ -131,6 +157,7 @@
 		}
 	}
 	s.checkRetryBudgets()
+	s.checkQuietFleet()
 
 	return s.violation
 }
@@ -142,10 +169,11 @@
 		variant:        variant,
 		deployment:     d,
 		configuration:  cataloguer.NewConfiguration(1, cataloguer.Limits{}, nil, d.services, nil, false),
-		store:          fakeStore{items: map[string]replicator.Item{}},
-		entries:        map[uint64]cataloguer.Endpoint{},
+		store:          newFakeStore(),
+		entries:        map[replicator.Position]cataloguer.Endpoint{},
 		endpoints:      map[model.EndpointID]*endpointState{},
 		domainOutSince: map[model.DomainID]timekeeper.Millis{},
+		outages:        map[replicator.Position]timekeeper.Millis{},
 		traffic:        map[model.ServiceID]*serviceTraffic{},
 	}
 	for _, service := range d.services {
@@ -169,7 +197,7 @@
 
 func (s *gatewaySimulation) addEndpoint(service model.ServiceID, coldDuration timekeeper.Millis) {
 	id := model.EndpointID(fmt.Sprintf("endpoint-%d", len(s.endpointIDs)))
-	domain := model.DomainID(fmt.Sprintf("domain-%d", s.choose(s.deployment.domainCount)))
+	domain := domainID(s.choose(s.deployment.domainCount))
 	s.endpointIDs = append(s.endpointIDs, id)
 	s.endpoints[id] = &endpointState{service: service, domain: domain, coldUntil: s.now + coldDuration}
 	s.writeEntry(id)
@@ -178,14 +206,15 @@
 // writeEntry writes the entry of an endpoint to the store.
 func (s *gatewaySimulation) writeEntry(id model.EndpointID) {
 	state := s.endpoints[id]
-	revision := s.store.put(endpointKey(id))
-	s.entries[revision] = cataloguer.Endpoint{
+	p := s.store.put(endpointKey(id))
+	s.entries[p] = cataloguer.Endpoint{
 		ID: id, Service: state.service, Domain: state.domain, Slots: 4,
 		IsDraining: state.isDraining, ColdRemaining: max(state.coldUntil-s.now, 0),
 	}
 }
 
-// changeDeployment adds or removes an endpoint, takes a failure domain out of service or back in, or starts a store outage.
+// changeDeployment adds or removes an endpoint, takes a failure domain out of service or back in, starts a store outage, or lets
+// the store keep a copy or come back from it.
 func (s *gatewaySimulation) changeDeployment() {
 	c := s.choose
 	switch c(60) {
@@ -194,9 +223,13 @@
 	case 1:
 		s.removeEndpoint(s.endpointIDs[c(len(s.endpointIDs))], c.oneIn(2))
 	case 2:
-		s.toggleDomain(model.DomainID(fmt.Sprintf("domain-%d", c(s.deployment.domainCount))))
+		s.toggleDomain(domainID(c(s.deployment.domainCount)))
 	case 3:
 		s.storeDownUntil = s.now + c.duration(4*timekeeper.Second)
+	case 4:
+		s.store.copy()
+	case 5:
+		s.startDrill()
 	}
 }
 
@@ -211,16 +244,23 @@
 	if setsDraining {
 		s.writeEntry(id)
 	} else {
+		state.isDeleted = true
 		s.store.delete(endpointKey(id))
 	}
 }
 
+// writeOutage writes to the store that a failure domain is out of service.
+func (s *gatewaySimulation) writeOutage(d model.DomainID) {
+	p := s.store.put(outageKey(d))
+	s.outages[p] = s.domainOutSince[d]
+}
+
 func (s *gatewaySimulation) toggleDomain(d model.DomainID) {
 	if _, isOut := s.domainOutSince[d]; isOut {
 		delete(s.domainOutSince, d)
 		s.store.delete(outageKey(d))
 	} else {
 		s.domainOutSince[d] = s.now
-		s.store.put(outageKey(d))
+		s.writeOutage(d)
 	}
 }
--- a/experimenter/internal/prover/gateway_simulation_test.go
+++ b/experimenter/internal/prover/gateway_simulation_test.go
@@ -26,6 +26,10 @@
 		"retries requests that may have run": {RetriesAnyFailure: true},
 		"ignores domains that are out":       {IgnoresDomainOutages: true},
 		"accepts stale copies of ranges":     {AcceptsStaleCopies: true},
+		"takes old copies for fresh ones":    {TakesCopiesAsFresh: true},
+		"ignores eras of the store":          {IgnoresEras: true},
+		"drops what a copy lacks at once":    {DropsMissingAtOnce: true},
+		"trusts what a copy brings back":     {TrustsRestoredEntries: true},
 	}
 	for name, variant := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/fleet/balancer/balancer_test.go
+++ b/fleet/balancer/balancer_test.go
@@ -32,7 +32,7 @@
 		isOut[d] = true
 	}
 
-	return cataloguer.NewView(c, isOut, endpoints, 1, 0)
+	return cataloguer.NewView(c, isOut, endpoints, 0)
 }
 
 func newTestBalancer() *Balancer {
@@ -212,7 +212,7 @@
 	const maxConnections, gateways = 12, 4
 	service := cataloguer.Service{ID: testService, MaxConnections: maxConnections}
 	c := cataloguer.NewConfiguration(1, cataloguer.Limits{}, nil, []cataloguer.Service{service}, nil, false)
-	v := cataloguer.NewView(c, nil, []*cataloguer.Endpoint{{ID: "e", Service: testService, Slots: 6}}, 1, 0)
+	v := cataloguer.NewView(c, nil, []*cataloguer.Endpoint{{ID: "e", Service: testService, Slots: 6}}, 0)
 	b := newTestBalancer()
 	b.Membership.Add([]string{"other", "third", "fourth"}, 0)
 	for n := range maxConnections {
--- a/fleet/cataloguer/endpoint.go
+++ b/fleet/cataloguer/endpoint.go
@@ -18,8 +18,6 @@
 	StartedAt timekeeper.Millis
 	// ColdRemaining is how long the endpoint stays cold, counted from the time at which the entry was written.
 	ColdRemaining timekeeper.Millis
-	// Revision is the store's revision of the entry.
-	Revision uint64
 	// ColdUntil is the end of the cold start on the clock of this process.
 	ColdUntil timekeeper.Millis
 	// FirstSeen is the time at which this process first saw the endpoint.
--- a/fleet/cataloguer/view.go
+++ b/fleet/cataloguer/view.go
@@ -11,8 +11,6 @@
 	Configuration *Configuration
 	// DomainsOut holds the failure domains that operators have taken out of service.
 	DomainsOut map[model.DomainID]bool
-	// Revision is the store's revision of the newest change in the view.
-	Revision uint64
 	// ChangedAt is the time at which the view was built.
 	ChangedAt timekeeper.Millis
 
@@ -21,11 +19,10 @@
 }
 
 // NewView returns a view that groups endpoints by service and keeps their order.
-func NewView(c *Configuration, domainsOut map[model.DomainID]bool, endpoints []*Endpoint, revision uint64, now timekeeper.Millis) *View {
+func NewView(c *Configuration, domainsOut map[model.DomainID]bool, endpoints []*Endpoint, now timekeeper.Millis) *View {
 	v := &View{
 		Configuration: c,
 		DomainsOut:    domainsOut,
-		Revision:      revision,
 		ChangedAt:     now,
 		byService:     map[model.ServiceID][]*Endpoint{},
 		byID:          make(map[model.EndpointID]*Endpoint, len(endpoints)),
--- a/fleet/replicator/replica.go
+++ b/fleet/replicator/replica.go
@@ -8,12 +8,13 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
-// maxRecordedDeletions is the maximum number of deletions that a replica records for ChangesSince.
-const maxRecordedDeletions = 1024
-
-// deletionGracePeriod is how long after a store outage deletions are deferred, so that the owners of expired entries can
-// write them again.
-const deletionGracePeriod = 2 * timekeeper.Second
+const (
+	// maxRecordedDeletions is the maximum number of deletions that a replica records for ChangesSince.
+	maxRecordedDeletions = 1024
+	// deletionGracePeriod is how long after a store outage deletions are deferred, so that the owners of expired entries can
+	// write them again.
+	deletionGracePeriod = 2 * timekeeper.Second
+)
 
 // Item is an entry of the store, or the deletion of one.
 type Item struct {
@@ -24,37 +25,64 @@
 	IsDeleted bool
 }
 
-// Replica is a copy of one key range of a store. It never returns to an older state. It is not safe for concurrent use.
+// Options configure a replica. The zero value never defers deletions and believes all that a restored store holds.
+type Options struct {
+	// OutageThreshold is the time without contact that counts as a store outage; zero means that deletions are never deferred.
+	OutageThreshold timekeeper.Millis
+	// RewriteTime is how long items are kept that a restored store lacks, so that their owners can write them again.
+	RewriteTime timekeeper.Millis
+	// RenewalTime is how long a restored item that IsOutdated is held back. An item that the store still holds after that has
+	// been renewed by its owner.
+	RenewalTime timekeeper.Millis
+	// IsOutdated reports whether a restored item is older than the known one. If IsDeleted is set, the known one has the value
+	// that it had before its deletion. A nil function holds nothing back.
+	IsOutdated func(known, restored Item) bool
+}
+
+// Replica is a copy of one key range of a store. It is not safe for concurrent use.
+//
+// Within an era of the store, it never returns to an older state. When the store is restored from an older copy of its content,
+// the replica moves to the new era with what the store holds then, and keeps what it knows better: see Options.
 //
 // Entries of the store can expire during an outage of the store and be written again by their owners afterwards. A replica
 // therefore defers the deletions that it receives shortly after an outage: it keeps the items until the owners have had time
 // to write them again.
 type Replica struct {
-	// OutageThreshold is the time without contact that counts as a store outage; zero means that deletions are never deferred.
-	OutageThreshold timekeeper.Millis
+	Options
 
 	items map[string]Item
 	// deletions holds the newest deletions in order, including all after the revision deletionsCompleteAfter.
 	deletions              []Item
 	deletionsCompleteAfter uint64
-	// deferredDeletions holds the keys of deleted items that are kept, and until when.
-	deferredDeletions map[string]timekeeper.Millis
-	syncedRevision    uint64
-	contentRevision   uint64
-	hasSynced         bool
+	// deferredDeletions holds the deletions of items that are kept, by key.
+	deferredDeletions map[string]deferredDeletion
+	synced            Position
+	// currentAt is a time at which the replica held all that the store did.
+	currentAt       timekeeper.Millis
+	contentRevision uint64
+	hasSynced       bool
 	// lastContact is when the store last answered this process, lastPeerContact when it last answered another one.
 	lastContact     timekeeper.Millis
 	lastPeerContact timekeeper.Millis
 	// deferUntil is the end of the grace period after the last outage.
 	deferUntil timekeeper.Millis
+	restore    restoreState
 }
 
-// NewReplica returns an empty replica. See Replica.OutageThreshold for the argument.
-func NewReplica(outageThreshold timekeeper.Millis) *Replica {
+// deferredDeletion is the deletion of an item that is kept until a time. IsMissing means that no deletion was seen: a restored
+// store lacks the item.
+type deferredDeletion struct {
+	until     timekeeper.Millis
+	isMissing bool
+}
+
+// NewReplica returns an empty replica.
+func NewReplica(o Options) *Replica {
 	return &Replica{
-		OutageThreshold:   outageThreshold,
+		Options:           o,
 		items:             map[string]Item{},
-		deferredDeletions: map[string]timekeeper.Millis{},
+		deferredDeletions: map[string]deferredDeletion{},
+		restore:           newRestoreState(),
 	}
 }
 
@@ -63,12 +91,14 @@
 	return r.hasSynced
 }
 
-// SyncedRevision returns the store revision up to which the replica holds all changes. Messages and logs call it as-of.
-func (r *Replica) SyncedRevision() uint64 {
-	return r.syncedRevision
+// Synced returns the position of the store up to which the replica holds all changes. Messages and logs call its revision
+// as-of.
+func (r *Replica) Synced() Position {
+	return r.synced
 }
 
-// ContentRevision returns the revision of the newest change to an item of the replica. Messages call it content.
+// ContentRevision returns the revision, in the era of Synced, of the newest change to an item of the replica. Messages call it
+// content.
 func (r *Replica) ContentRevision() uint64 {
 	return r.contentRevision
 }
@@ -93,38 +123,52 @@
 	r.lastPeerContact = max(r.lastPeerContact, at)
 }
 
-// Replace replaces the replica's items by the whole range as read at a revision and reports whether anything changed. It
-// ignores a range that is older than the replica.
-func (r *Replica) Replace(items []Item, revision uint64, now timekeeper.Millis) bool {
-	if r.hasSynced && revision < r.syncedRevision {
+// Replace replaces the replica's items by the whole range as the store held it at a position, at the time readAt or later, and
+// reports whether anything changed. It ignores a range that is older than the replica.
+func (r *Replica) Replace(items []Item, at Position, readAt, now timekeeper.Millis) bool {
+	if r.hasSynced && at.Compare(r.synced) < 0 {
 		return false
 	}
+	put := r.put
+	if r.hasSynced && at.Era > r.synced.Era {
+		r.startEra(at.Era, now)
+		put = r.putRestored
+	}
+	r.currentAt = max(r.currentAt, readAt)
 	changed := !r.hasSynced
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		present[item.Key] = true
-		changed = r.put(item) || changed
+		changed = put(item) || changed
 	}
 	for key := range r.items {
 		if !present[key] {
-			changed = r.remove(Item{Key: key, Position: Position{Revision: revision}, IsDeleted: true}, now) || changed
+			changed = r.removeMissing(key, at, now) || changed
 		}
 	}
+	maps.DeleteFunc(r.restore.heldBack, func(key string, _ heldItem) bool { return !present[key] })
 	r.hasSynced = true
-	r.syncedRevision = revision
+	r.synced = at
 	// The revisions at which the missing items were deleted are unknown.
 	r.deletions = nil
-	r.deletionsCompleteAfter = revision
+	r.deletionsCompleteAfter = at.Revision
 
 	return changed
 }
 
-// Apply applies the changes up to a revision and reports whether anything changed. It skips changes up to SyncedRevision,
-// which the replica already contains.
-func (r *Replica) Apply(events []Item, revision uint64, now timekeeper.Millis) bool {
+// Apply applies the changes up to a position, at which the store was at the time readAt or later, and reports whether anything
+// changed. It skips changes that the replica already contains, and all of them if the position is in another era: changes
+// alone do not lead from one era to another.
+func (r *Replica) Apply(events []Item, at Position, readAt, now timekeeper.Millis) bool {
+	if at.Era != r.synced.Era {
+		return false
+	}
+	if at.Compare(r.synced) >= 0 {
+		r.currentAt = max(r.currentAt, readAt)
+	}
 	changed := false
 	for _, e := range events {
-		if e.Revision <= r.syncedRevision {
+		if e.Compare(r.synced) <= 0 {
 			continue
 		}
 		if e.IsDeleted {
@@ -134,7 +178,7 @@
 			changed = r.put(e) || changed
 		}
 	}
-	r.syncedRevision = max(r.syncedRevision, revision)
+	r.synced.Revision = max(r.synced.Revision, at.Revision)
 
 	return changed
 }
@@ -148,11 +192,16 @@
 	}
 }
 
-// put stores an item unless the replica holds the same or a newer revision, and reports whether it stored it.
+// put stores an item unless the replica holds the same or a newer one, and reports whether it stored it.
 func (r *Replica) put(item Item) bool {
-	delete(r.deferredDeletions, item.Key)
 	r.contentRevision = max(r.contentRevision, item.Revision)
-	if old, ok := r.items[item.Key]; ok && old.Revision >= item.Revision {
+	if held, ok := r.restore.heldBack[item.Key]; ok && item.Compare(held.Position) <= 0 {
+		return false
+	}
+	delete(r.restore.heldBack, item.Key)
+	delete(r.restore.removals, item.Key)
+	delete(r.deferredDeletions, item.Key)
+	if old, ok := r.items[item.Key]; ok && old.Compare(item.Position) >= 0 {
 		return false
 	}
 	r.items[item.Key] = item
@@ -160,39 +209,87 @@
 	return true
 }
 
+// removeMissing removes an item that the store does not hold at a position, or defers its deletion if the item is of an
+// earlier era and its owner may write it again.
+func (r *Replica) removeMissing(key string, at Position, now timekeeper.Millis) bool {
+	if r.items[key].Era == at.Era || r.currentAt >= r.restore.keepUntil {
+		return r.remove(Item{Key: key, Position: at, IsDeleted: true}, now)
+	}
+	if deferred, ok := r.deferredDeletions[key]; !ok || deferred.isMissing {
+		r.deferredDeletions[key] = deferredDeletion{until: r.restore.keepUntil, isMissing: true}
+	}
+
+	return false
+}
+
 // remove deletes an item, or defers the deletion during a grace period, and reports whether it deleted it.
 func (r *Replica) remove(item Item, now timekeeper.Millis) bool {
+	if held, ok := r.restore.heldBack[item.Key]; ok && item.Compare(held.Position) >= 0 {
+		delete(r.restore.heldBack, item.Key)
+	}
 	old, ok := r.items[item.Key]
-	if !ok || (item.Revision != 0 && old.Revision > item.Revision) {
+	if !ok || old.Compare(item.Position) > 0 {
 		return false
 	}
 	r.contentRevision = max(r.contentRevision, item.Revision)
 	if now < r.deferUntil {
-		if _, deferred := r.deferredDeletions[item.Key]; !deferred {
-			r.deferredDeletions[item.Key] = r.deferUntil
+		if deferred, ok := r.deferredDeletions[item.Key]; !ok || deferred.isMissing {
+			r.deferredDeletions[item.Key] = deferredDeletion{until: r.deferUntil}
 		}
 
 		return false
 	}
-	delete(r.items, item.Key)
-	delete(r.deferredDeletions, item.Key)
+	r.drop(old, now)
 
 	return true
 }
 
-// ApplyDeferredDeletions removes the deleted items whose grace period has ended and reports whether there were any.
-func (r *Replica) ApplyDeferredDeletions(now timekeeper.Millis) bool {
+// drop deletes an item and remembers what it was.
+func (r *Replica) drop(item Item, now timekeeper.Millis) {
+	delete(r.items, item.Key)
+	delete(r.deferredDeletions, item.Key)
+	r.rememberRemoval(item, now)
+}
+
+// ApplyDue removes the deleted items whose grace period has ended, stores the held-back items whose owners must have renewed
+// them, and reports whether there were any. What a restored store lacks or holds counts only if the store still did at the
+// end of the period.
+func (r *Replica) ApplyDue(now timekeeper.Millis) bool {
 	changed := false
-	for key, until := range r.deferredDeletions {
-		if now < until {
-			continue
+	for key, deferred := range r.deferredDeletions {
+		isDue := now >= deferred.until
+		if deferred.isMissing {
+			isDue = r.currentAt >= deferred.until
+		}
+		if isDue {
+			r.drop(r.items[key], now)
+			changed = true
 		}
-		delete(r.items, key)
-		delete(r.deferredDeletions, key)
-		changed = true
 	}
+	r.forgetRemovals(now)
 
-	return changed
+	return r.releaseHeldItems() || changed
+}
+
+// NextConfirmation returns the time at which the replica must hear from the store to know what has become of items that it
+// keeps or holds back, or zero if there are none.
+func (r *Replica) NextConfirmation() timekeeper.Millis {
+	next := timekeeper.Millis(0)
+	add := func(at timekeeper.Millis) {
+		if next == 0 || at < next {
+			next = at
+		}
+	}
+	for _, deferred := range r.deferredDeletions {
+		if deferred.isMissing {
+			add(deferred.until)
+		}
+	}
+	for _, held := range r.restore.heldBack {
+		add(held.until)
+	}
+
+	return next
 }
 
 // Items returns the items, including those whose deletion is deferred, sorted by key.
@@ -203,29 +300,38 @@
 	return items
 }
 
-// LiveItems returns the items without those whose deletion is deferred, sorted by key. Only these are sent to other
-// processes, which may have seen the deletion without an outage.
+// LiveItems returns the items that the store holds, sorted by key: without those whose deletion is deferred, and with those
+// held back. Only these are sent to other processes, which may know more or less than this one.
 func (r *Replica) LiveItems() []Item {
-	return slices.DeleteFunc(r.Items(), func(i Item) bool {
-		_, deferred := r.deferredDeletions[i.Key]
+	items := make([]Item, 0, len(r.items))
+	for _, item := range r.Items() {
+		_, isDeferred := r.deferredDeletions[item.Key]
+		_, isHeld := r.restore.heldBack[item.Key]
+		if !isDeferred && !isHeld {
+			items = append(items, item)
+		}
+	}
+	for _, held := range r.restore.heldBack {
+		items = append(items, held.Item)
+	}
+	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 
-		return deferred
-	})
+	return items
 }
 
-// ChangesSince returns the items and deletions after a revision, for another process. It returns false if some deletions
-// after that revision are no longer recorded.
-func (r *Replica) ChangesSince(revision uint64) (changes []Item, ok bool) {
-	if revision < r.deletionsCompleteAfter {
+// ChangesSince returns the items and deletions after a position, for another process. It returns false if some deletions
+// after that position are no longer recorded, or if it is in another era.
+func (r *Replica) ChangesSince(p Position) (changes []Item, ok bool) {
+	if p.Era != r.synced.Era || p.Revision < r.deletionsCompleteAfter {
 		return nil, false
 	}
 	for _, item := range r.LiveItems() {
-		if item.Revision > revision {
+		if item.Revision > p.Revision {
 			changes = append(changes, item)
 		}
 	}
 	for _, e := range r.deletions {
-		if e.Revision > revision {
+		if e.Revision > p.Revision {
 			changes = append(changes, e)
 		}
 	}
--- a/fleet/replicator/replica_test.go
+++ b/fleet/replicator/replica_test.go
@@ -10,11 +10,15 @@
 )
 
 func put(key string, revision uint64) Item {
-	return Item{Key: key, Value: []byte{1}, Position: Position{Revision: revision}}
+	return Item{Key: key, Value: []byte{1}, Position: at(revision)}
 }
 
 func deletion(key string, revision uint64) Item {
-	return Item{Key: key, Position: Position{Revision: revision}, IsDeleted: true}
+	return Item{Key: key, Position: at(revision), IsDeleted: true}
+}
+
+func at(revision uint64) Position {
+	return Position{Era: 1, Revision: revision}
 }
 
 func holds(r *Replica, key string) bool {
@@ -25,21 +29,21 @@
 
 // A watch response that was requested before a peer's newer copy was applied must not restore deleted items.
 func TestApplyIgnoresEventsOlderThanFullCopy(t *testing.T) {
-	r := NewReplica(0)
-	r.Replace([]Item{put("a", 1)}, 1, 0)
-	r.Replace([]Item{put("b", 5)}, 5, 10)
-	if r.Apply([]Item{put("a", 2)}, 3, 20) {
+	r := NewReplica(Options{})
+	r.Replace([]Item{put("a", 1)}, at(1), 0, 0)
+	r.Replace([]Item{put("b", 5)}, at(5), 10, 10)
+	if r.Apply([]Item{put("a", 2)}, at(3), 20, 20) {
 		t.Fatal("an event older than the copy changed the replica")
 	}
-	if holds(r, "a") || !holds(r, "b") || r.SyncedRevision() != 5 {
-		t.Fatalf("a held: %v, b held: %v, synced revision %d", holds(r, "a"), holds(r, "b"), r.SyncedRevision())
+	if holds(r, "a") || !holds(r, "b") || r.Synced() != at(5) {
+		t.Fatalf("a held: %v, b held: %v, synced at %v", holds(r, "a"), holds(r, "b"), r.Synced())
 	}
 }
 
 func TestReplaceIgnoresOlderCopy(t *testing.T) {
-	r := NewReplica(0)
-	r.Replace([]Item{put("a", 4)}, 4, 0)
-	if r.Replace([]Item{put("a", 2), put("b", 3)}, 3, 1) {
+	r := NewReplica(Options{})
+	r.Replace([]Item{put("a", 4)}, at(4), 0, 0)
+	if r.Replace([]Item{put("a", 2), put("b", 3)}, at(3), 1, 1) {
 		t.Fatal("an older copy was applied")
 	}
 }
@@ -56,17 +60,17 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			r := NewReplica(outageThreshold)
+			r := NewReplica(Options{OutageThreshold: outageThreshold})
 			r.RecordContact(1)
-			r.Replace([]Item{put("a", 1), put("b", 1)}, 1, 1)
+			r.Replace([]Item{put("a", 1), put("b", 1)}, at(1), 1, 1)
 			now := 1 + c.withoutContact
 			r.RecordContact(now)
-			r.Apply([]Item{deletion("a", 2), deletion("b", 3)}, 3, now)
+			r.Apply([]Item{deletion("a", 2), deletion("b", 3)}, at(3), now, now)
 			if holds(r, "a") != c.held {
 				t.Fatalf("held = %v, want %v", holds(r, "a"), c.held)
 			}
-			r.Apply([]Item{put("b", 4)}, 4, now+1)
-			r.ApplyDeferredDeletions(now + deletionGracePeriod)
+			r.Apply([]Item{put("b", 4)}, at(4), now+1, now+1)
+			r.ApplyDue(now + deletionGracePeriod)
 			if holds(r, "a") || !holds(r, "b") {
 				t.Fatalf("after the grace period: a held: %v, b held: %v", holds(r, "a"), holds(r, "b"))
 			}
@@ -78,11 +82,11 @@
 // have already deleted them.
 func TestLiveItemsOmitsDeferredDeletions(t *testing.T) {
 	const outageThreshold = 2 * timekeeper.Second
-	r := NewReplica(outageThreshold)
+	r := NewReplica(Options{OutageThreshold: outageThreshold})
 	r.RecordContact(1)
-	r.Replace([]Item{put("a", 1), put("b", 1)}, 1, 1)
+	r.Replace([]Item{put("a", 1), put("b", 1)}, at(1), 1, 1)
 	r.RecordContact(1 + outageThreshold)
-	r.Apply([]Item{deletion("a", 2)}, 2, 1+outageThreshold)
+	r.Apply([]Item{deletion("a", 2)}, at(2), 1+outageThreshold, 1+outageThreshold)
 	if !holds(r, "a") {
 		t.Fatal("the deletion was not deferred")
 	}
@@ -96,12 +100,12 @@
 // If another process had contact with the store in the meantime, the store was not down and deletions are not deferred.
 func TestPeerContactPreventsDeferral(t *testing.T) {
 	const outageThreshold = 2 * timekeeper.Second
-	r := NewReplica(outageThreshold)
+	r := NewReplica(Options{OutageThreshold: outageThreshold})
 	r.RecordContact(1)
-	r.Replace([]Item{put("a", 1)}, 1, 1)
+	r.Replace([]Item{put("a", 1)}, at(1), 1, 1)
 	r.RecordPeerContact(outageThreshold)
 	r.RecordContact(1 + outageThreshold)
-	r.Apply([]Item{deletion("a", 2)}, 2, 1+outageThreshold)
+	r.Apply([]Item{deletion("a", 2)}, at(2), 1+outageThreshold, 1+outageThreshold)
 	if holds(r, "a") {
 		t.Fatal("a deletion was deferred although the store was reachable")
 	}
@@ -111,27 +115,27 @@
 func TestChangesSinceMatchesFullCopy(t *testing.T) {
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 7))
-		source := NewReplica(0)
-		source.Replace([]Item{put("k0", 1), put("k1", 2)}, 2, 0)
-		behind := NewReplica(0)
-		behind.Replace(source.LiveItems(), source.SyncedRevision(), 0)
+		source := NewReplica(Options{})
+		source.Replace([]Item{put("k0", 1), put("k1", 2)}, at(2), 0, 0)
+		behind := NewReplica(Options{})
+		behind.Replace(source.LiveItems(), source.Synced(), 0, 0)
 		for revision := uint64(3); revision < 60; revision++ {
 			key := fmt.Sprintf("k%d", random.IntN(6))
 			if random.IntN(3) == 0 {
-				source.Apply([]Item{deletion(key, revision)}, revision, 0)
+				source.Apply([]Item{deletion(key, revision)}, at(revision), 0, 0)
 			} else {
-				source.Apply([]Item{put(key, revision)}, revision, 0)
+				source.Apply([]Item{put(key, revision)}, at(revision), 0, 0)
 			}
 			if random.IntN(8) > 0 {
 				continue
 			}
-			changes, ok := source.ChangesSince(behind.SyncedRevision())
+			changes, ok := source.ChangesSince(behind.Synced())
 			if !ok {
-				t.Fatalf("seed %d: changes since %d are not available", seed, behind.SyncedRevision())
+				t.Fatalf("seed %d: changes since %v are not available", seed, behind.Synced())
 			}
-			behind.Apply(changes, source.SyncedRevision(), 0)
-			whole := NewReplica(0)
-			whole.Replace(source.LiveItems(), source.SyncedRevision(), 0)
+			behind.Apply(changes, source.Synced(), 0, 0)
+			whole := NewReplica(Options{})
+			whole.Replace(source.LiveItems(), source.Synced(), 0, 0)
 			if !reflect.DeepEqual(behind.Items(), whole.Items()) {
 				t.Fatalf("seed %d, revision %d: %v, want %v", seed, revision, behind.Items(), whole.Items())
 			}
@@ -140,12 +144,12 @@
 }
 
 func TestChangesSinceFailsBeforeFullRead(t *testing.T) {
-	r := NewReplica(0)
-	r.Replace([]Item{put("a", 1)}, 5, 0)
-	if _, ok := r.ChangesSince(4); ok {
+	r := NewReplica(Options{})
+	r.Replace([]Item{put("a", 1)}, at(5), 0, 0)
+	if _, ok := r.ChangesSince(at(4)); ok {
 		t.Fatal("changes before the full read are reported as available")
 	}
-	if _, ok := r.ChangesSince(5); !ok {
+	if _, ok := r.ChangesSince(at(5)); !ok {
 		t.Fatal("changes after the full read are not available")
 	}
 }
--- a/router/internal/forwarder/crash_test.go
+++ b/router/internal/forwarder/crash_test.go
@@ -238,7 +238,7 @@
 		}
 	})
 
-	return cataloguer.NewView(c, nil, endpoints, 1, f.clock.Now())
+	return cataloguer.NewView(c, nil, endpoints, f.clock.Now())
 }
 
 // A stream without a single event has broken off, even if it could have ended with its connection.
--- a/router/internal/forwarder/pooled_conn_test.go
+++ b/router/internal/forwarder/pooled_conn_test.go
@@ -111,7 +111,7 @@
 	services := []cataloguer.Service{{ID: service}}
 	c := cataloguer.NewConfiguration(1, cataloguer.Limits{}, []cataloguer.Route{route}, services, nil, false)
 	endpoint := &cataloguer.Endpoint{ID: "e", Service: service, Domain: "d", Address: address}
-	view := cataloguer.NewView(c, nil, []*cataloguer.Endpoint{endpoint}, 1, clock.Now())
+	view := cataloguer.NewView(c, nil, []*cataloguer.Endpoint{endpoint}, clock.Now())
 	b := balancer.NewBalancer(2, "self", "d", budgeter.NewMembership("self", nil, clock.Now()))
 	pool := connector.NewPool(connector.Timeouts{DialTimeout: timekeeper.Second, AckTimeout: timekeeper.Minute}, clock)
 	f := NewForwarder(b, budgeter.NewRetryBudget(budgeter.RetryLimits{Ratio: 1, Slack: 1, Window: timekeeper.Second}), pool, clock, logger.NewDiscard())
--- a/router/internal/gateway/decode.go
+++ b/router/internal/gateway/decode.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"strings"
 
 	"cardamompulley/fleet/cataloguer"
@@ -10,10 +11,11 @@
 	"cardamompulley/platform"
 )
 
-// decodedState caches what was decoded from the replicas, so that each revision of an item is decoded once.
+// decodedState caches what was decoded from the replicas, so that each change of an item is decoded once.
 type decodedState struct {
-	configuration         *cataloguer.Configuration
-	configurationRevision uint64
+	configuration *cataloguer.Configuration
+	// configurationPosition is that of the last item that was decoded, whether it was adopted or not.
+	configurationPosition replicator.Position
 	// domainsOut holds the failure domains that operators have taken out of service.
 	domainsOut map[model.DomainID]bool
 	endpoints  map[string]decodedEndpoint
@@ -21,7 +23,7 @@
 
 // decodedEndpoint is the decoded entry of one endpoint; endpoint is nil if the entry is unusable.
 type decodedEndpoint struct {
-	revision uint64
+	item     replicator.Item
 	endpoint *cataloguer.Endpoint
 }
 
@@ -37,9 +39,8 @@
 	if g.decoded.configuration == nil || !g.endpointReplica.HasSynced() {
 		return
 	}
-	revision := max(g.operatorReplica.ContentRevision(), g.endpointReplica.ContentRevision())
 	isFirst := g.view.Load() == nil
-	g.view.Store(cataloguer.NewView(g.decoded.configuration, g.decoded.domainsOut, endpoints, revision, g.clock.Now()))
+	g.view.Store(cataloguer.NewView(g.decoded.configuration, g.decoded.domainsOut, endpoints, g.clock.Now()))
 	if isFirst {
 		close(g.viewReady)
 	}
@@ -66,17 +67,17 @@
 	}
 	g.decoded.domainsOut = domainsOut
 	item, ok := g.operatorReplica.Get(platform.KeyConfiguration)
-	if ok && item.Revision > g.decoded.configurationRevision {
+	if ok && item.Position != g.decoded.configurationPosition {
 		g.decodeConfiguration(item)
 	}
 }
 
 // decodeConfiguration adopts the configuration in item if it is valid and its version is newer than the current one.
 func (g *Gateway) decodeConfiguration(item replicator.Item) {
-	g.decoded.configurationRevision = item.Revision
+	g.decoded.configurationPosition = item.Position
 	c, err := platform.DecodeConfiguration(item.Value)
 	if err != nil {
-		g.log.Write(logger.EventConfigInvalid, logger.Int("revision", item.Revision), logger.Err(err))
+		g.log.Write(logger.EventConfigInvalid, append(positionFields(item.Position), logger.Err(err))...)
 
 		return
 	}
@@ -84,7 +85,12 @@
 		return
 	}
 	g.decoded.configuration = c
-	g.log.Write(logger.EventConfigAccepted, logger.Int("version", c.Version), logger.Int("revision", item.Revision))
+	g.log.Write(logger.EventConfigAccepted, append([]logger.Field{logger.Int("version", c.Version)}, positionFields(item.Position)...)...)
+}
+
+// positionFields returns the log fields of a position in the store's history.
+func positionFields(p replicator.Position) []logger.Field {
+	return []logger.Field{logger.Int("era", p.Era), logger.Int("revision", p.Revision)}
 }
 
 // decodeEndpointRange returns the usable endpoints of the endpoint range and logs removed ones.
@@ -95,8 +101,8 @@
 	for _, item := range items {
 		present[item.Key] = true
 		d, ok := g.decoded.endpoints[item.Key]
-		if !ok || d.revision != item.Revision {
-			d = g.decodeEndpoint(item, d.endpoint)
+		if !ok || d.item.Position != item.Position {
+			d = g.decodeEndpoint(item, d)
 			g.decoded.endpoints[item.Key] = d
 		}
 		if d.endpoint != nil {
@@ -118,34 +124,37 @@
 	return model.EndpointID(strings.TrimPrefix(key, platform.RangeEndpoints))
 }
 
-// decodeEndpoint decodes a new or changed entry; previous is the endpoint of the entry's earlier revision, or nil.
-func (g *Gateway) decodeEndpoint(item replicator.Item, previous *cataloguer.Endpoint) decodedEndpoint {
+// decodeEndpoint decodes a new or changed entry; previous is the state of its last change, or empty. An entry that a restored
+// store holds as before means the same as before.
+func (g *Gateway) decodeEndpoint(item replicator.Item, previous decodedEndpoint) decodedEndpoint {
+	isRestored := previous.item.Era != item.Era
+	if previous.endpoint != nil && isRestored && bytes.Equal(previous.item.Value, item.Value) {
+		return decodedEndpoint{item: item, endpoint: previous.endpoint}
+	}
 	id := endpointID(item.Key)
 	e, err := platform.DecodeEndpoint(id, item.Value)
 	if err != nil {
 		g.log.Write(logger.EventEndpointUnreadable, logger.String("endpoint", id), logger.Err(err))
 
-		return decodedEndpoint{revision: item.Revision}
+		return decodedEndpoint{item: item}
 	}
-	e.Revision = item.Revision
 	e.FirstSeen = g.clock.Now()
-	if previous != nil {
-		e.FirstSeen = previous.FirstSeen
+	if previous.endpoint != nil {
+		e.FirstSeen = previous.endpoint.FirstSeen
 	}
 	if e.ColdRemaining > 0 {
 		e.ColdUntil = g.clock.Now() + e.ColdRemaining
 	}
-	g.logEndpointChange(&e, previous)
+	g.logEndpointChange(&e, previous.endpoint, item.Position)
 
-	return decodedEndpoint{revision: item.Revision, endpoint: &e}
+	return decodedEndpoint{item: item, endpoint: &e}
 }
 
-// logEndpointChange logs an endpoint that was added, has started to drain, or is cold in a later revision of its entry.
-func (g *Gateway) logEndpointChange(e, previous *cataloguer.Endpoint) {
-	fields := []logger.Field{
-		logger.String("endpoint", e.ID), logger.String("service", e.Service),
-		logger.String("domain", e.Domain), logger.Int("revision", e.Revision),
-	}
+// logEndpointChange logs an endpoint that was added, has started to drain, or is cold in a later change of its entry.
+func (g *Gateway) logEndpointChange(e, previous *cataloguer.Endpoint, p replicator.Position) {
+	fields := append([]logger.Field{
+		logger.String("endpoint", e.ID), logger.String("service", e.Service), logger.String("domain", e.Domain),
+	}, positionFields(p)...)
 	if previous == nil {
 		g.log.Write(logger.EventEndpointAdded, append(fields, logger.Int("cold-ms", e.ColdRemaining))...)
 	}
@@ -156,3 +165,21 @@
 		g.log.Write(logger.EventEndpointCold, append(fields, logger.Int("cold-ms", e.ColdRemaining))...)
 	}
 }
+
+// isOutdatedEntry reports whether the entry of an endpoint that a restored store holds is older than the known one: it is of an
+// earlier process, or of the same one before it began to drain or left.
+func isOutdatedEntry(known, restored replicator.Item) bool {
+	older, err := platform.DecodeEndpoint(endpointID(restored.Key), restored.Value)
+	if err != nil {
+		return true
+	}
+	newer, err := platform.DecodeEndpoint(endpointID(known.Key), known.Value)
+	if err != nil {
+		return false
+	}
+	if older.StartedAt != newer.StartedAt {
+		return older.StartedAt < newer.StartedAt
+	}
+
+	return known.IsDeleted || (newer.IsDraining && !older.IsDraining)
+}
--- /dev/null
+++ b/router/internal/gateway/decode_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"encoding/json"
+	"testing"
+
+	"cardamompulley/fleet/logger"
+	"cardamompulley/fleet/replicator"
+	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/platform/imitator"
+)
+
+// entryItem returns the store item of an endpoint. The process that wrote it started at the time born.
+func entryItem(t *testing.T, p replicator.Position, isDraining bool, born, coldMS int) replicator.Item {
+	t.Helper()
+	entry := imitator.EndpointEntry("s", "10.0.0.1:80", "d", isDraining)
+	entry["born"] = born
+	entry["cold-remaining-ms"] = coldMS
+	value, err := json.Marshal(entry)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return replicator.Item{Key: imitator.KeyEndpoint("e"), Value: value, Position: p}
+}
+
+func TestRestoredEntryIsOutdated(t *testing.T) {
+	known, restored := replicator.Position{Era: 1, Revision: 9}, replicator.Position{Era: 2, Revision: 3}
+	cases := []struct {
+		name            string
+		known, restored replicator.Item
+		isKnownDeleted  bool
+		isOutdated      bool
+	}{
+		{"the same", entryItem(t, known, false, 1, 0), entryItem(t, restored, false, 1, 0), false, false},
+		{"before it began to drain", entryItem(t, known, true, 1, 0), entryItem(t, restored, false, 1, 0), false, true},
+		{"draining in both", entryItem(t, known, true, 1, 0), entryItem(t, restored, true, 1, 0), false, false},
+		{"of the process before", entryItem(t, known, false, 2, 0), entryItem(t, restored, false, 1, 0), false, true},
+		{"of a later process", entryItem(t, known, true, 1, 0), entryItem(t, restored, false, 2, 0), false, false},
+		{"of one that has left", entryItem(t, known, false, 1, 0), entryItem(t, restored, false, 1, 0), true, true},
+		{"of a later process than the one that has left", entryItem(t, known, false, 1, 0), entryItem(t, restored, false, 2, 0), true, false},
+		{"unreadable", entryItem(t, known, false, 1, 0), replicator.Item{Key: imitator.KeyEndpoint("e"), Value: []byte("odd")}, false, true},
+	}
+	for _, c := range cases {
+		c.known.IsDeleted = c.isKnownDeleted
+		if got := isOutdatedEntry(c.known, c.restored); got != c.isOutdated {
+			t.Errorf("%s: outdated = %v", c.name, got)
+		}
+	}
+}
+
+// An entry that a restored store holds as before must not make its endpoint cold again; one that was written again does.
+func TestRestoredEntryDoesNotStartAnotherColdStart(t *testing.T) {
+	g := &Gateway{clock: timekeeper.NewSystemClock(), log: logger.NewDiscard()}
+	first := g.decodeEndpoint(entryItem(t, replicator.Position{Era: 1, Revision: 9}, false, 1, 5000), decodedEndpoint{})
+	restored := g.decodeEndpoint(entryItem(t, replicator.Position{Era: 2, Revision: 9}, false, 1, 5000), first)
+	if restored.endpoint != first.endpoint {
+		t.Error("an unchanged entry was decoded again")
+	}
+	again := g.decodeEndpoint(entryItem(t, replicator.Position{Era: 2, Revision: 10}, false, 1, 5000), restored)
+	if again.endpoint == first.endpoint {
+		t.Error("an entry that was written again was ignored")
+	}
+}
--- a/router/internal/gateway/exchange.go
+++ b/router/internal/gateway/exchange.go
@@ -30,8 +30,18 @@
 	p.markPlacementsSent(address, next)
 	p.applyNews(response.News)
 	p.applyPlacements(response.Placements)
-	p.applyRangeCopy(p.gateway.operatorReplica, "operator", response.Operator)
-	p.applyRangeCopy(p.gateway.endpointReplica, "endpoints", response.Endpoints)
+	silence := storeSilence(response.News)
+	p.applyRangeCopy(p.gateway.operatorReplica, "operator", response.Operator, silence)
+	p.applyRangeCopy(p.gateway.endpointReplica, "endpoints", response.Endpoints, silence)
+}
+
+// storeSilence returns how long ago the store answered a peer; if it never did, longer than any period.
+func storeSilence(news *messenger.GatewayNews) timekeeper.Millis {
+	if news == nil || news.StoreSilenceMs < 0 {
+		return timekeeper.Hour
+	}
+
+	return timekeeper.Millis(news.StoreSilenceMs)
 }
 
 // recordExchange records the end of an exchange and logs when a gateway stops answering or answers again.
@@ -82,7 +92,8 @@
 // gateway's lock must be held.
 func (p *peers) rangeState(r *replicator.Replica, mayCopy bool) *messenger.RangeState {
 	return &messenger.RangeState{
-		AsOf:    r.SyncedRevision(),
+		AsOf:    r.Synced().Revision,
+		Era:     uint64(r.Synced().Era),
 		Content: r.ContentRevision(),
 		Synced:  r.HasSynced(),
 		Wanted:  mayCopy && p.needsCopy(r),
@@ -99,6 +110,7 @@
 	if answeredAt := p.gateway.endpointReplica.LastContact(); answeredAt > 0 {
 		news.StoreSilenceMs = int64(p.gateway.clock.Now() - answeredAt)
 	}
+	p.addRestore(news)
 	p.gateway.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) {
 		now := p.gateway.clock.Now()
 		news.Gateways = p.nextAddresses(receiver, b.Membership.Confirmed(now))
@@ -112,6 +124,29 @@
 	return news
 }
 
+// addRestore adds the last change of the store's era while it may matter to others. The gateway's lock must be held.
+func (p *peers) addRestore(news *messenger.GatewayNews) {
+	r := p.gateway.endpointReplica
+	age := p.gateway.clock.Now() - r.EraSince()
+	if r.EraSince() == 0 || age >= restoreNewsLifetime {
+		return
+	}
+	news.RestoredEra = uint64(r.Synced().Era)
+	news.RestoredAgeMs = int64(age)
+}
+
+// applyRestore applies a peer's news that the store was restored.
+func (p *peers) applyRestore(news *messenger.GatewayNews) {
+	if news.RestoredEra == 0 {
+		return
+	}
+	p.gateway.mu.Lock()
+	defer p.gateway.mu.Unlock()
+	since := p.gateway.clock.Now() - timekeeper.Millis(news.RestoredAgeMs)
+	p.gateway.operatorReplica.RecordPeerEra(replicator.Era(news.RestoredEra), since)
+	p.gateway.endpointReplica.RecordPeerEra(replicator.Era(news.RestoredEra), since)
+}
+
 // nextAddresses returns the addresses from known that are next in turn, more of them if the receiver knows fewer gateways
 // than this one.
 func (p *peers) nextAddresses(receiver string, known []string) []string {
@@ -149,6 +184,7 @@
 	}
 	p.addPeers(append(news.Gateways, news.Address))
 	p.recordSender(news)
+	p.applyRestore(news)
 	if news.StoreSilenceMs >= 0 {
 		p.gateway.mu.Lock()
 		p.gateway.endpointReplica.RecordPeerContact(p.gateway.clock.Now() - timekeeper.Millis(news.StoreSilenceMs))
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -24,7 +24,13 @@
 	dialTimeout = 600 * timekeeper.Millis(1)
 	// outageHeartbeats is the length of a store outage, in heartbeats, after which endpoint entries may have been deleted only
 	// because the endpoints could not renew them.
-	outageHeartbeats    = 2
+	outageHeartbeats = 2
+	// renewalHeartbeats is the age, in heartbeats, beyond which the store holds no entry that its endpoint has not renewed.
+	renewalHeartbeats = 4
+	// operatorRewriteTime and endpointRewriteTime are how long operators and endpoints have to write again what a restored store
+	// has lost.
+	operatorRewriteTime = 10 * timekeeper.Second
+	endpointRewriteTime = 2 * timekeeper.Second
 	maintenanceInterval = 500 * timekeeper.Millis(1)
 )
 
@@ -67,11 +73,16 @@
 		store:           platform.NewStore(s.StoreAddress),
 		pool:            pool,
 		forwarder:       forwarder.NewForwarder(b, r, pool, clock, log),
-		operatorReplica: replicator.NewReplica(0),
-		endpointReplica: replicator.NewReplica(outageHeartbeats * s.HeartbeatInterval),
-		decoded:         newDecodedState(),
-		startedAt:       clock.Now(),
-		viewReady:       make(chan struct{}),
+		operatorReplica: replicator.NewReplica(replicator.Options{RewriteTime: operatorRewriteTime}),
+		endpointReplica: replicator.NewReplica(replicator.Options{
+			OutageThreshold: outageHeartbeats * s.HeartbeatInterval,
+			RewriteTime:     endpointRewriteTime,
+			RenewalTime:     renewalHeartbeats * s.HeartbeatInterval,
+			IsOutdated:      isOutdatedEntry,
+		}),
+		decoded:   newDecodedState(),
+		startedAt: clock.Now(),
+		viewReady: make(chan struct{}),
 	}
 	g.peers = newPeers(g)
 	g.forwarder.CurrentView = g.view.Load
@@ -103,7 +114,8 @@
 func (g *Gateway) maintain(ctx context.Context) {
 	for timekeeper.Sleep(ctx, maintenanceInterval) {
 		g.mu.Lock()
-		if g.endpointReplica.ApplyDeferredDeletions(g.clock.Now()) {
+		isOperatorChanged := g.operatorReplica.ApplyDue(g.clock.Now())
+		if g.endpointReplica.ApplyDue(g.clock.Now()) || isOperatorChanged {
 			g.rebuildView()
 		}
 		g.mu.Unlock()
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -31,6 +31,8 @@
 	maxChargedBytes = gossipBytesPerSecond / 2
 	// storeStartupWait is how long a new process waits for the store before it asks other gateways for copies of the ranges.
 	storeStartupWait = 300 * timekeeper.Millis(1)
+	// restoreNewsLifetime is how long a gateway tells others that the store was restored.
+	restoreNewsLifetime = timekeeper.Minute
 	// maxPlacements is the maximum number of placements in one message.
 	maxPlacements = 40
 	// maxReportBytes is the maximum size of the load reports in one message.
--- a/router/internal/gateway/range_copies.go
+++ b/router/internal/gateway/range_copies.go
@@ -7,20 +7,21 @@
 )
 
 // newRangeCopy returns what a peer lacks of a range that it cannot read from the store: the changes since the peer's
-// revision or, if they are not all known, the whole range. It returns nil if the peer does not ask for a copy or is up to
+// position or, if they are not all known, the whole range. It returns nil if the peer does not ask for a copy or is up to
 // date.
 func newRangeCopy(peerState *messenger.RangeState, r *replicator.Replica) *messenger.RangeCopy {
 	if !r.HasSynced() || !peerState.GetWanted() {
 		return nil
 	}
-	if peerState.GetSynced() && (r.SyncedRevision() <= peerState.GetAsOf() || r.ContentRevision() <= peerState.GetContent()) {
+	theirs := peerPosition(peerState, r)
+	if peerState.GetSynced() && !isBehind(theirs, peerState.GetContent(), r) {
 		return nil
 	}
-	items, isDelta := r.ChangesSince(peerState.GetAsOf())
+	items, isDelta := r.ChangesSince(theirs)
 	if !peerState.GetSynced() || !isDelta {
 		items, isDelta = r.LiveItems(), false
 	}
-	c := &messenger.RangeCopy{AsOf: r.SyncedRevision(), Changes: isDelta}
+	c := &messenger.RangeCopy{AsOf: r.Synced().Revision, Era: uint64(r.Synced().Era), Changes: isDelta}
 	for _, item := range items {
 		c.Items = append(c.Items, &messenger.StoredItem{
 			Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.IsDeleted,
@@ -30,22 +31,42 @@
 	return c
 }
 
-// applyRangeCopy updates a replica from the copy that a peer has sent, if any.
-func (p *peers) applyRangeCopy(r *replicator.Replica, name string, c *messenger.RangeCopy) {
+// peerPosition returns the position of a peer's replica. A peer that knows no era is taken to be in the era of r.
+func peerPosition(peerState *messenger.RangeState, r *replicator.Replica) replicator.Position {
+	era := replicator.Era(peerState.GetEra())
+	if era == 0 {
+		era = r.Synced().Era
+	}
+
+	return replicator.Position{Era: era, Revision: peerState.GetAsOf()}
+}
+
+// isBehind reports whether a peer at a position, with the newest change at the revision content, lacks a change that r has.
+func isBehind(theirs replicator.Position, content uint64, r *replicator.Replica) bool {
+	if theirs.Era != r.Synced().Era {
+		return theirs.Era < r.Synced().Era
+	}
+
+	return theirs.Revision < r.Synced().Revision && content < r.ContentRevision()
+}
+
+// applyRangeCopy updates a replica from the copy that a peer has sent, if any, with the time since the store answered it.
+func (p *peers) applyRangeCopy(r *replicator.Replica, name string, c *messenger.RangeCopy, silence timekeeper.Millis) {
 	if c == nil {
 		return
 	}
+	at := replicator.Position{Era: replicator.Era(c.Era), Revision: c.AsOf}
 	items := make([]replicator.Item, 0, len(c.Items))
 	for _, item := range c.Items {
 		items = append(items, replicator.Item{
-			Key: item.Key, Value: item.Value, Position: replicator.Position{Revision: item.Revision}, IsDeleted: item.Deleted,
+			Key: item.Key, Value: item.Value, Position: replicator.Position{Era: at.Era, Revision: item.Revision}, IsDeleted: item.Deleted,
 		})
 	}
 	p.gateway.updateReplica("peer "+name, r, func(now timekeeper.Millis) bool {
 		if c.Changes {
-			return r.Apply(items, c.AsOf, now)
+			return r.Apply(items, at, now-silence, now)
 		}
 
-		return r.Replace(items, c.AsOf, now)
+		return r.Replace(items, at, now-silence, now)
 	})
 }
--- a/router/internal/gateway/store_sync.go
+++ b/router/internal/gateway/store_sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -21,6 +22,8 @@
 	// watchWaitFraction is the fraction of the recovery time that one watch call waits: a watch that receives nothing must
 	// be noticed, and the range copied from another gateway, within the recovery time.
 	watchWaitFraction = 0.6
+	// minWatchWait is the shortest wait of a watch call.
+	minWatchWait = 100 * timekeeper.Millis(1)
 	// batchDelay lets changes in quick succession accumulate until one watch call returns them together.
 	batchDelay = 250 * timekeeper.Millis(1)
 )
@@ -36,7 +39,8 @@
 }
 
 // followStore keeps the replicas up to date with the store until the context ends. Each range is read in full once; after
-// that a single watch call covers both ranges, because calls to the store are billed. Failures are retried with backoff.
+// that a single watch call covers both ranges, because calls to the store are billed. If the store does not have the history
+// that the watch needs, the ranges are read again. Failures are retried with backoff.
 func (g *Gateway) followStore(ctx context.Context) {
 	ranges := []*storeRange{
 		{prefix: platform.RangeOperator, replica: g.operatorReplica, needsRead: true},
@@ -45,7 +49,7 @@
 	backoff := initialBackoff
 	for ctx.Err() == nil {
 		err := g.syncRanges(ctx, ranges)
-		if err == nil {
+		if err == nil || isHistoryLost(err) {
 			backoff = initialBackoff
 			g.recordStoreResult(nil)
 
@@ -59,6 +63,11 @@
 	}
 }
 
+// isHistoryLost reports whether the store has answered that changes alone cannot bring the replicas up to date.
+func isHistoryLost(err error) bool {
+	return errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrEraChanged)
+}
+
 // recordStoreResult records whether the store can be followed and logs when that changes.
 func (g *Gateway) recordStoreResult(err error) {
 	g.mu.Lock()
@@ -73,8 +82,8 @@
 	}
 }
 
-// syncRanges reads the ranges that need it in full, then waits for changes once. If the store has compacted the history
-// that the watch needs, all ranges are marked for a full read.
+// syncRanges reads the ranges that need it in full, then waits for changes once. If the store does not have the history that
+// the watch needs, all ranges are marked for a full read.
 func (g *Gateway) syncRanges(ctx context.Context, ranges []*storeRange) error {
 	for _, r := range ranges {
 		if !r.needsRead {
@@ -86,46 +95,57 @@
 		r.needsRead = false
 	}
 	err := g.watchStore(ctx, ranges)
-	if errors.Is(err, platform.ErrCompacted) {
+	if isHistoryLost(err) {
 		for _, r := range ranges {
 			r.needsRead = true
 		}
-
-		return nil
 	}
 
 	return err
 }
 
 func (g *Gateway) readRange(ctx context.Context, r *storeRange) error {
-	items, asOf, err := g.store.ReadRange(ctx, r.prefix)
+	items, at, err := g.store.ReadRange(ctx, r.prefix)
 	if err != nil {
 		return err
 	}
-	g.recordStorePosition(asOf)
+	if known := g.syncedEra(r.replica); at.Era < known {
+		return fmt.Errorf("%w: read of %s is of era %d, known is %d", platform.ErrStore, r.prefix, at.Era, known)
+	}
+	g.recordStorePosition(at)
 	g.updateReplica(r.prefix, r.replica, func(now timekeeper.Millis) bool {
 		r.replica.RecordContact(now)
 
-		return r.replica.Replace(items, asOf.Revision, now)
+		return r.replica.Replace(items, at, now, now)
 	})
 
 	return nil
 }
 
-// watchStore waits for changes after the newest revision that all replicas have reached, and applies them.
+func (g *Gateway) syncedEra(r *replicator.Replica) replicator.Era {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return r.Synced().Era
+}
+
+// watchStore waits for changes after the newest position that all replicas have reached, and applies them.
 func (g *Gateway) watchStore(ctx context.Context, ranges []*storeRange) error {
 	g.mu.Lock()
-	after := ranges[0].replica.SyncedRevision()
+	after := ranges[0].replica.Synced()
 	for _, r := range ranges {
-		after = min(after, r.replica.SyncedRevision())
+		if synced := r.replica.Synced(); synced.Compare(after) < 0 {
+			after = synced
+		}
 	}
+	wait := g.watchWait(ranges)
 	g.mu.Unlock()
-	events, asOf, err := g.store.Watch(ctx, replicator.Position{Revision: after}, timekeeper.Millis(watchWaitFraction*float64(g.settings.RecoveryTime)))
+	events, at, err := g.store.Watch(ctx, after, wait)
 	if err != nil {
 		return err
 	}
-	g.recordStorePosition(asOf)
-	g.applyEvents(ranges, events, asOf.Revision)
+	g.recordStorePosition(at)
+	g.applyEvents(ranges, events, at)
 	if len(events) > 0 {
 		timekeeper.Sleep(ctx, batchDelay)
 	}
@@ -133,6 +153,18 @@
 	return nil
 }
 
+// watchWait returns how long a watch call waits for changes. The lock must be held.
+func (g *Gateway) watchWait(ranges []*storeRange) timekeeper.Millis {
+	wait := timekeeper.Millis(watchWaitFraction * float64(g.settings.RecoveryTime))
+	for _, r := range ranges {
+		if next := r.replica.NextConfirmation(); next > 0 {
+			wait = min(wait, max(next-g.clock.Now(), minWatchWait))
+		}
+	}
+
+	return wait
+}
+
 // recordStorePosition records where the store was when it answered, and logs when it has come back from a copy.
 func (g *Gateway) recordStorePosition(p replicator.Position) {
 	g.mu.Lock()
@@ -149,13 +181,13 @@
 }
 
 // applyEvents applies to each replica the events in its range.
-func (g *Gateway) applyEvents(ranges []*storeRange, events []replicator.Item, asOf uint64) {
+func (g *Gateway) applyEvents(ranges []*storeRange, events []replicator.Item, at replicator.Position) {
 	for _, r := range ranges {
 		inRange := slices.DeleteFunc(slices.Clone(events), func(i replicator.Item) bool { return !strings.HasPrefix(i.Key, r.prefix) })
 		g.updateReplica(r.prefix, r.replica, func(now timekeeper.Millis) bool {
 			r.replica.RecordContact(now)
 
-			return r.replica.Apply(inRange, asOf, now)
+			return r.replica.Apply(inRange, at, now, now)
 		})
 	}
 }
@@ -170,7 +202,8 @@
 		return
 	}
 	if !wasSynced {
-		g.log.Write(logger.EventRangeReplaced, logger.String("range", name), logger.Int("as-of", r.SyncedRevision()))
+		g.log.Write(logger.EventRangeReplaced, logger.String("range", name),
+			logger.Int("era", r.Synced().Era), logger.Int("as-of", r.Synced().Revision))
 	}
 	g.rebuildView()
 }
--- a/standin/internal/storekeeper/store.go
+++ b/standin/internal/storekeeper/store.go
@@ -240,7 +240,7 @@
 func (s *Store) Copy() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copied = s.content.clone()
+	s.copied = s.clone()
 }
 
 // Restore brings back what the last Copy kept, so that everything written since is lost and its revisions are used again. It
--- a/standin/internal/storekeeper/store_test.go
+++ b/standin/internal/storekeeper/store_test.go
@@ -7,19 +7,18 @@
 	"testing"
 )
 
-// get sends a request to the store and returns the response and, if it has one, the decoded body.
-func get(t *testing.T, s *Store, target string) (*http.Response, response) {
+// get sends a request to the store and returns the status, the era and, if there is one, the decoded body of the response.
+func get(t *testing.T, s *Store, target string) (status int, era string, body response) {
 	t.Helper()
 	w := httptest.NewRecorder()
 	s.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, target, nil))
-	var body response
 	if w.Code == http.StatusOK {
 		if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil {
 			t.Fatal(err)
 		}
 	}
 
-	return w.Result(), body
+	return w.Code, w.Header().Get(headerEra), body
 }
 
 func TestRestoreLosesLaterWritesAndReusesRevisions(t *testing.T) {
@@ -30,18 +29,18 @@
 	s.Put("b", []byte("3"))
 	s.Restore()
 
-	_, read := get(t, s, "/kv-range?prefix=")
+	_, _, read := get(t, s, "/kv-range?prefix=")
 	if len(read.Entries) != 1 || string(read.Entries[0].Value) != "1" || read.Revision != 1 {
 		t.Fatalf("after the restore the store holds %+v", read)
 	}
-	beyond, _ := get(t, s, "/kv-watch?start-after=3&wait-ms=1")
-	if beyond.StatusCode != http.StatusGone || beyond.Header.Get(headerEra) != "2" {
-		t.Fatalf("watch from a lost revision: status %d, era %s", beyond.StatusCode, beyond.Header.Get(headerEra))
+	status, era, _ := get(t, s, "/kv-watch?start-after=3&wait-ms=1")
+	if status != http.StatusGone || era != "2" {
+		t.Fatalf("watch from a lost revision: status %d, era %s", status, era)
 	}
 	s.Put("c", []byte("4"))
-	answer, watched := get(t, s, "/kv-watch?start-after=1&wait-ms=1")
-	if len(watched.Events) != 1 || watched.Events[0].Revision != 2 || answer.Header.Get(headerEra) != "2" {
-		t.Fatalf("after another write: %+v, era %s", watched, answer.Header.Get(headerEra))
+	_, era, watched := get(t, s, "/kv-watch?start-after=1&wait-ms=1")
+	if len(watched.Events) != 1 || watched.Events[0].Revision != 2 || era != "2" {
+		t.Fatalf("after another write: %+v, era %s", watched, era)
 	}
 }
 
