Full reads that follow each other pause, and those of all gateways are spread

What the store saw: gateways that called it without a pause as long as it did not have the history they asked for, 3,400 to 20,660 times in about a second after a drill, of 2,000 calls a second that it serves to all nodes; 429 for everyone.

Cause: a 410 was taken for a success, so the loop read, watch, 410 had no pause.

Change: a full read waits for a time that grows with the number of gateways, so that all of them together use half of what the store serves (store-reads-per-second, from the platform's settings), and repeated ones back off.

--- a/experimenter/internal/launcher/gateway_store_test.go
+++ b/experimenter/internal/launcher/gateway_store_test.go
@@ -91,6 +91,24 @@
 	}
 }
 
+// A store that has lost its history again after each full read must not be called without a pause.
+func TestGatewayPausesBetweenFullReads(t *testing.T) {
+	const settlePeriod, period = time.Second, 3 * time.Second
+	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways = 1 })
+	must(t, f.SetStoreFaults(`{"forgetful": true}`))
+	time.Sleep(settlePeriod)
+	before := storeCallCount(t, f)
+	time.Sleep(period)
+	if n := storeCallCount(t, f) - before; n > storeCallsPerSecond*int(period/time.Second) {
+		t.Fatalf("%d calls in %s", n, period)
+	}
+	must(t, f.SetStoreFaults(`{}`))
+	must(t, f.PublishConfiguration())
+	waitFor(t, "the revoked key is refused", changeBound, func() bool {
+		return newGatewayCall(f.Gateways[0], http.MethodGet, lookupsPath).mustSend(t).status == http.StatusUnauthorized
+	})
+}
+
 func storeCallCount(t *testing.T, f *launcher.GatewayFleet) int {
 	t.Helper()
 	body, err := launcher.Fetch("http://" + f.Store.Address("standin") + "/calls")
--- a/router/internal/gateway/settings.go
+++ b/router/internal/gateway/settings.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	maxLogLinesPerSecond = 65535
-	maxMemoryMB          = 1 << 20
-	maxCores             = 1024
+	maxLogLinesPerSecond   = 65535
+	maxMemoryMB            = 1 << 20
+	maxCores               = 1024
+	maxStoreReadsPerSecond = 1_000_000
 )
 
 // Settings are the settings of a gateway, as read from its settings file.
@@ -23,7 +24,9 @@
 	MetricsListen string
 	Seeds         []string
 	StoreAddress  string
-	Domain        string
+	// StoreReadsPerSecond is how many calls all gateways together may send to the store.
+	StoreReadsPerSecond int
+	Domain              string
 	// HeartbeatInterval is how often endpoints renew their entries in the store (setting heartbeat-ms).
 	HeartbeatInterval timekeeper.Millis
 	// RecoveryTime is how soon after a fault the process must be up to date again (setting contact-ms).
@@ -43,15 +46,16 @@
 // NewSettings returns the default settings.
 func NewSettings() Settings {
 	return Settings{
-		HeartbeatInterval: timekeeper.Second,
-		RecoveryTime:      3 * timekeeper.Second,
-		ShutdownGrace:     10 * timekeeper.Second,
-		RetryWindow:       10 * timekeeper.Second,
-		RetryRatio:        0.1,
-		LoadMultiple:      2,
-		MemoryMB:          256,
-		Cores:             1,
-		LogLinesPerSecond: 200,
+		HeartbeatInterval:   timekeeper.Second,
+		RecoveryTime:        3 * timekeeper.Second,
+		ShutdownGrace:       10 * timekeeper.Second,
+		RetryWindow:         10 * timekeeper.Second,
+		RetryRatio:          0.1,
+		LoadMultiple:        2,
+		MemoryMB:            256,
+		Cores:               1,
+		LogLinesPerSecond:   200,
+		StoreReadsPerSecond: 2000,
 	}
 }
 
@@ -109,6 +113,11 @@
 		{Name: "retry-ratio", Target: &s.RetryRatio, Default: "0.1", Check: atLeast(&s.RetryRatio, 0), Meaning: "Retries allowed for each request of a service, over all gateways."},
 		{Name: "retry-slack", Target: &s.RetrySlack, Default: "0", Check: atLeast(&s.RetrySlack, 0), Meaning: "Retries allowed in a window in addition to the ratio, over all gateways."},
 		{Name: "load-multiple", Target: &s.LoadMultiple, Default: "2", Check: atLeast(&s.LoadMultiple, 1), Meaning: "Largest load of an endpoint, as a multiple of the mean load of its service."},
+		{
+			Name: "store-reads-per-second", Target: &s.StoreReadsPerSecond, Default: "2000", AllowedValues: "1 to 1000000",
+			Check:   loader.Range(&s.StoreReadsPerSecond, 1, maxStoreReadsPerSecond),
+			Meaning: "Calls per second that the store serves to all gateways together.",
+		},
 		{
 			Name: "memory-mb", Target: &s.MemoryMB, Default: "256", Unit: "MB", AllowedValues: "16 to 1048576",
 			Check: loader.Range(&s.MemoryMB, 16, maxMemoryMB), Meaning: "Memory that this process may take.",
--- a/router/internal/gateway/store_sync.go
+++ b/router/internal/gateway/store_sync.go
@@ -10,6 +10,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cardamompulley/fleet/balancer"
+	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/replicator"
 	"cardamompulley/fleet/timekeeper"
@@ -26,6 +28,12 @@
 	minWatchWait = 100 * timekeeper.Millis(1)
 	// batchDelay lets changes in quick succession accumulate until one watch call returns them together.
 	batchDelay = 250 * timekeeper.Millis(1)
+	// maxRereadPause is the mean pause between the full reads of a store that loses its history again after each full read.
+	maxRereadPause = 1200 * timekeeper.Millis(1)
+	// rereadCalls is the number of calls with which a gateway reads both ranges, of two pages at most, again.
+	rereadCalls = 4
+	// rereadShare is the fraction of the store's calls per second that all gateways together use to read their ranges again.
+	rereadShare = 0.5
 )
 
 var storeRestores = metrics.NewCounter("gateway_store_restores_total")
@@ -47,14 +55,22 @@
 		{prefix: platform.RangeEndpoints, replica: g.endpointReplica, needsRead: true},
 	}
 	backoff := initialBackoff
+	rereadPause := g.rereadSpread()
 	for ctx.Err() == nil {
 		err := g.syncRanges(ctx, ranges)
-		if err == nil || isHistoryLost(err) {
-			backoff = initialBackoff
+		if err == nil {
+			backoff, rereadPause = initialBackoff, g.rereadSpread()
 			g.recordStoreResult(nil)
 
 			continue
 		}
+		if isHistoryLost(err) {
+			g.recordStoreResult(nil)
+			timekeeper.Sleep(ctx, rereadPause/2+rand.N(rereadPause))
+			rereadPause = max(initialBackoff, min(2*rereadPause, maxRereadPause))
+
+			continue
+		}
 		if ctx.Err() == nil {
 			g.recordStoreResult(err)
 		}
@@ -68,6 +84,16 @@
 	return errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrEraChanged)
 }
 
+// rereadSpread returns the time over which all gateways read their ranges again, so that they use at most rereadShare of the
+// calls per second that the store serves.
+func (g *Gateway) rereadSpread() timekeeper.Millis {
+	gateways := 1
+	g.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) { gateways = len(b.Membership.Members()) })
+	perSecond := rereadShare * float64(g.settings.StoreReadsPerSecond)
+
+	return 1 + timekeeper.Millis(float64(gateways*rereadCalls)/perSecond*float64(timekeeper.Second))
+}
+
 // recordStoreResult records whether the store can be followed and logs when that changes.
 func (g *Gateway) recordStoreResult(err error) {
 	g.mu.Lock()
--- a/standin/internal/storekeeper/store.go
+++ b/standin/internal/storekeeper/store.go
@@ -37,6 +37,8 @@
 	// HangWatches leaves watches, waiting and new ones, without a response until their client disconnects. A watch that was
 	// hung stays so after the fault is cleared.
 	HangWatches bool `json:"deaf"`
+	// ForgetHistory answers every watch as if the history that it needs were gone.
+	ForgetHistory bool `json:"forgetful"`
 	// ResetConnections closes the connection of every read request.
 	ResetConnections bool `json:"reset"`
 }
@@ -197,7 +199,7 @@
 		}
 	}
 
-	isGone := afterRevision < s.compactedRevision || afterRevision > s.revision
+	isGone := s.faults.ForgetHistory || afterRevision < s.compactedRevision || afterRevision > s.revision
 
 	return result, isGone, s.changed
 }
