Deferred deletions end within drain-ms of the time at which a gateway learned of them

What callers saw: requests still went to an endpoint whose entry had been deleted, up to 2.23 s after the log said the store was back, which was written a batch delay (0.25 s) after the gateway had learned of the deletion; 2 s are allowed.

Deletions after an outage are deferred for 2 s, and the deadline was looked at every 0.5 s, so that a deletion could count 2.5 s late; drain-ms was not known to the gateway.

Change: drain-ms is a setting; deletions are deferred for 2 s or drain-ms less 0.15 s for requests on their way, and a timer of its own ends the deferral. store-regained is logged when the store answers.

--- a/experimenter/internal/launcher/gateway_store_test.go
+++ b/experimenter/internal/launcher/gateway_store_test.go
@@ -152,3 +152,43 @@
 
 	return response.Body.Close()
 }
+
+// A gateway that has read that an endpoint is gone must not use it for longer than drain-ms, whatever it defers.
+func TestGatewayDefersDeletionsForLessThanDrainTime(t *testing.T) {
+	const heartbeat, drainTime = 300 * time.Millisecond, 2 * time.Second
+	logs := &lockedBuffer{}
+	f := launchGateways(t, func(s *launcher.GatewaySpec) {
+		s.Gateways, s.Engines, s.Logs = 3, 0, logs
+		s.GatewaySettings = map[string]any{"heartbeat-ms": heartbeat.Milliseconds()}
+	})
+	must(t, f.SetStoreFaults(`{"status": 503}`))
+	// A change ends the watches that wait.
+	must(t, f.PutItem("other/item", map[string]any{}))
+	time.Sleep(3 * heartbeat)
+	must(t, f.DeregisterEndpoint("plain-1"))
+	must(t, f.SetStoreFaults(`{}`))
+	lastUse := make([]time.Time, len(f.Gateways))
+	for end := time.Now().Add(drainTime + 2*time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for n, g := range f.Gateways {
+			sentAt := time.Now()
+			if newGatewayCall(g, http.MethodGet, lookupsPath).mustSend(t).header.Get("Cardamompulley-Response-Signature") == "signed-by-plain-1" {
+				lastUse[n] = sentAt
+			}
+		}
+	}
+	deferrals := 0
+	for n, g := range f.Gateways {
+		learnedAt, err := logs.timeOf(g.Name, "store-regained")
+		must(t, err)
+		used := lastUse[n].Sub(learnedAt)
+		if used > drainTime {
+			t.Errorf("%s used the endpoint for %v after it knew it to be gone", g.Name, used)
+		}
+		if used > drainTime/2 {
+			deferrals++
+		}
+	}
+	if deferrals == 0 {
+		t.Error("no gateway has deferred the deletion")
+	}
+}
--- a/fleet/replicator/replica.go
+++ b/fleet/replicator/replica.go
@@ -8,13 +8,8 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
-const (
-	// maxRecordedDeletions is the maximum number of deletions that a replica records for ChangesSince.
-	maxRecordedDeletions = 1024
-	// deletionGracePeriod is how long after a store outage deletions are deferred, so that the owners of expired entries can
-	// write them again.
-	deletionGracePeriod = 2 * timekeeper.Second
-)
+// maxRecordedDeletions is the maximum number of deletions that a replica records for ChangesSince.
+const maxRecordedDeletions = 1024
 
 // Item is an entry of the store, or the deletion of one.
 type Item struct {
@@ -29,7 +24,8 @@
 type Options struct {
 	// OutageThreshold is the time without contact that counts as a store outage; zero means that deletions are never deferred.
 	OutageThreshold timekeeper.Millis
-	// RewriteTime is how long items are kept that a restored store lacks, so that their owners can write them again.
+	// RewriteTime is how long after an outage deletions are deferred, and items are kept that a restored store lacks, so that
+	// their owners can write them again.
 	RewriteTime timekeeper.Millis
 	// RenewalTime is how long a restored item that IsOutdated is held back. An item that the store still holds after that has
 	// been renewed by its owner.
@@ -112,7 +108,7 @@
 func (r *Replica) RecordContact(now timekeeper.Millis) {
 	if r.OutageThreshold > 0 && r.hasSynced && r.lastContact > 0 &&
 		now-max(r.lastContact, r.lastPeerContact) >= r.OutageThreshold {
-		r.deferUntil = now + deletionGracePeriod
+		r.deferUntil = now + r.RewriteTime
 	}
 	r.lastContact = now
 }
@@ -271,9 +267,9 @@
 	return r.releaseHeldItems() || changed
 }
 
-// NextConfirmation returns the time at which the replica must hear from the store to know what has become of items that it
-// keeps or holds back, or zero if there are none.
-func (r *Replica) NextConfirmation() timekeeper.Millis {
+// NextDue returns the time at which ApplyDue has something to do next, provided that the replica is then up to date, or zero if
+// there is nothing.
+func (r *Replica) NextDue() timekeeper.Millis {
 	next := timekeeper.Millis(0)
 	add := func(at timekeeper.Millis) {
 		if next == 0 || at < next {
@@ -281,9 +277,7 @@
 		}
 	}
 	for _, deferred := range r.deferredDeletions {
-		if deferred.isMissing {
-			add(deferred.until)
-		}
+		add(deferred.until)
 	}
 	for _, held := range r.restore.heldBack {
 		add(held.until)
--- a/fleet/replicator/replica_test.go
+++ b/fleet/replicator/replica_test.go
@@ -60,7 +60,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			r := NewReplica(Options{OutageThreshold: outageThreshold})
+			r := NewReplica(Options{OutageThreshold: outageThreshold, RewriteTime: rewriteTime})
 			r.RecordContact(1)
 			r.Replace([]Item{put("a", 1), put("b", 1)}, at(1), 1, 1)
 			now := 1 + c.withoutContact
@@ -70,7 +70,7 @@
 				t.Fatalf("held = %v, want %v", holds(r, "a"), c.held)
 			}
 			r.Apply([]Item{put("b", 4)}, at(4), now+1, now+1)
-			r.ApplyDue(now + deletionGracePeriod)
+			r.ApplyDue(now + rewriteTime)
 			if holds(r, "a") || !holds(r, "b") {
 				t.Fatalf("after the grace period: a held: %v, b held: %v", holds(r, "a"), holds(r, "b"))
 			}
@@ -82,7 +82,7 @@
 // have already deleted them.
 func TestLiveItemsOmitsDeferredDeletions(t *testing.T) {
 	const outageThreshold = 2 * timekeeper.Second
-	r := NewReplica(Options{OutageThreshold: outageThreshold})
+	r := NewReplica(Options{OutageThreshold: outageThreshold, RewriteTime: rewriteTime})
 	r.RecordContact(1)
 	r.Replace([]Item{put("a", 1), put("b", 1)}, at(1), 1, 1)
 	r.RecordContact(1 + outageThreshold)
@@ -100,7 +100,7 @@
 // If another process had contact with the store in the meantime, the store was not down and deletions are not deferred.
 func TestPeerContactPreventsDeferral(t *testing.T) {
 	const outageThreshold = 2 * timekeeper.Second
-	r := NewReplica(Options{OutageThreshold: outageThreshold})
+	r := NewReplica(Options{OutageThreshold: outageThreshold, RewriteTime: rewriteTime})
 	r.RecordContact(1)
 	r.Replace([]Item{put("a", 1)}, at(1), 1, 1)
 	r.RecordPeerContact(outageThreshold)
--- a/fleet/replicator/restore.go
+++ b/fleet/replicator/restore.go
@@ -88,7 +88,7 @@
 	s.keepUntil = s.since + r.RewriteTime
 	s.heldBack = map[string]heldItem{}
 	if r.OutageThreshold > 0 {
-		r.deferUntil = max(r.deferUntil, s.since+deletionGracePeriod)
+		r.deferUntil = max(r.deferUntil, s.since+r.RewriteTime)
 	}
 	r.contentRevision = 0
 	r.currentAt = 0
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -31,7 +31,11 @@
 	// has lost.
 	operatorRewriteTime = 10 * timekeeper.Second
 	endpointRewriteTime = 2 * timekeeper.Second
+	// drainMargin is the part of the drain time that is left for requests on their way to an endpoint that turns out to be gone.
+	drainMargin         = 150 * timekeeper.Millis(1)
 	maintenanceInterval = 500 * timekeeper.Millis(1)
+	// minDueInterval is the shortest time between two looks for what is due.
+	minDueInterval = 20 * timekeeper.Millis(1)
 )
 
 // Gateway is the state of one gateway process, which proxies requests directly to endpoints.
@@ -76,7 +80,7 @@
 		operatorReplica: replicator.NewReplica(replicator.Options{RewriteTime: operatorRewriteTime}),
 		endpointReplica: replicator.NewReplica(replicator.Options{
 			OutageThreshold: outageHeartbeats * s.HeartbeatInterval,
-			RewriteTime:     endpointRewriteTime,
+			RewriteTime:     min(endpointRewriteTime, max(s.DrainTime-drainMargin, 0)),
 			RenewalTime:     renewalHeartbeats * s.HeartbeatInterval,
 			IsOutdated:      isOutdatedEntry,
 		}),
@@ -107,18 +111,40 @@
 	w.Go(func() { g.followStore(ctx) })
 	w.Go(func() { g.peers.run(ctx) })
 	w.Go(func() { g.maintain(ctx) })
+	w.Go(func() { g.applyDueChanges(ctx) })
 	w.Wait()
 }
 
-// maintain periodically drops expired state, logs outliers and probes endpoints whose circuit breaker is open.
-func (g *Gateway) maintain(ctx context.Context) {
-	for timekeeper.Sleep(ctx, maintenanceInterval) {
+// applyDueChanges ends the periods for which replicas keep or hold back items, when they are over.
+func (g *Gateway) applyDueChanges(ctx context.Context) {
+	for timekeeper.Sleep(ctx, g.untilDue()) {
 		g.mu.Lock()
-		isOperatorChanged := g.operatorReplica.ApplyDue(g.clock.Now())
-		if g.endpointReplica.ApplyDue(g.clock.Now()) || isOperatorChanged {
+		now := g.clock.Now()
+		isOperatorChanged := g.operatorReplica.ApplyDue(now)
+		if g.endpointReplica.ApplyDue(now) || isOperatorChanged {
 			g.rebuildView()
 		}
 		g.mu.Unlock()
+	}
+}
+
+// untilDue returns the time until a replica has something due, and maintenanceInterval at the most.
+func (g *Gateway) untilDue() timekeeper.Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	until := maintenanceInterval
+	for _, r := range []*replicator.Replica{g.operatorReplica, g.endpointReplica} {
+		if next := r.NextDue(); next > 0 {
+			until = min(until, max(next-g.clock.Now(), minDueInterval))
+		}
+	}
+
+	return until
+}
+
+// maintain periodically drops expired state, logs outliers and probes endpoints whose circuit breaker is open.
+func (g *Gateway) maintain(ctx context.Context) {
+	for timekeeper.Sleep(ctx, maintenanceInterval) {
 		v := g.view.Load()
 		if v == nil {
 			continue
--- a/router/internal/gateway/settings.go
+++ b/router/internal/gateway/settings.go
@@ -30,7 +30,9 @@
 	// HeartbeatInterval is how often endpoints renew their entries in the store (setting heartbeat-ms).
 	HeartbeatInterval timekeeper.Millis
 	// RecoveryTime is how soon after a fault the process must be up to date again (setting contact-ms).
-	RecoveryTime  timekeeper.Millis
+	RecoveryTime timekeeper.Millis
+	// DrainTime is how soon a gateway must stop using an endpoint that it knows to leave or to be gone (setting drain-ms).
+	DrainTime     timekeeper.Millis
 	ShutdownGrace timekeeper.Millis
 	RetryWindow   timekeeper.Millis
 	RetryRatio    float64
@@ -48,6 +50,7 @@
 	return Settings{
 		HeartbeatInterval:   timekeeper.Second,
 		RecoveryTime:        3 * timekeeper.Second,
+		DrainTime:           2 * timekeeper.Second,
 		ShutdownGrace:       10 * timekeeper.Second,
 		RetryWindow:         10 * timekeeper.Second,
 		RetryRatio:          0.1,
@@ -103,6 +106,7 @@
 	return []loader.Option{
 		duration("heartbeat-ms", &s.HeartbeatInterval, "1000", "How often endpoints renew their entries in the store."),
 		duration("contact-ms", &s.RecoveryTime, "3000", "Time after a fault within which this process must be up to date again."),
+		duration("drain-ms", &s.DrainTime, "2000", "Longest use of an endpoint after this process knows that it leaves or is gone."),
 		duration("shutdown-grace-ms", &s.ShutdownGrace, "10000", "Longest wait for running requests at shutdown."),
 		duration("retry-window-ms", &s.RetryWindow, "10000", "Window over which the retry budget is counted."),
 	}
--- a/router/internal/gateway/store_sync.go
+++ b/router/internal/gateway/store_sync.go
@@ -60,7 +60,6 @@
 		err := g.syncRanges(ctx, ranges)
 		if err == nil {
 			backoff, rereadPause = initialBackoff, g.rereadSpread()
-			g.recordStoreResult(nil)
 
 			continue
 		}
@@ -170,6 +169,7 @@
 	if err != nil {
 		return err
 	}
+	g.recordStoreResult(nil)
 	g.recordStorePosition(at)
 	g.applyEvents(ranges, events, at)
 	if len(events) > 0 {
@@ -183,7 +183,7 @@
 func (g *Gateway) watchWait(ranges []*storeRange) timekeeper.Millis {
 	wait := timekeeper.Millis(watchWaitFraction * float64(g.settings.RecoveryTime))
 	for _, r := range ranges {
-		if next := r.replica.NextConfirmation(); next > 0 {
+		if next := r.replica.NextDue(); next > 0 {
 			wait = min(wait, max(next-g.clock.Now(), minWatchWait))
 		}
 	}
@@ -224,7 +224,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wasSynced := r.HasSynced()
-	if !update(g.clock.Now()) {
+	now := g.clock.Now()
+	isUpdated := update(now)
+	isDue := r.ApplyDue(now)
+	if !isUpdated && !isDue {
 		return
 	}
 	if !wasSynced {
