A gateway that starts after a drill learns from the others what was in force before it

What callers would see: the withdrawn key accepted, the evacuated domain and the endpoints that have left used, by a gateway that starts between the store's return and the writing again, since it knows the copy only.

Cause: the same as of the drill itself, at a process without memory: the copy is taken for the present. Gateways that reach the store asked others for nothing.

Change: a gateway that has known the store in one era only says so in its exchanges for 10 s; the first other gateway that has seen the change of era answers with what it keeps and holds back. It counts as if known, until written again or the same deadline; what the store has changed since the sender's position stays. Two fields and a message between gateways, empty but for 10 s after a start or a drill.

--- a/experimenter/internal/launcher/gateway_restored_store_test.go
+++ b/experimenter/internal/launcher/gateway_restored_store_test.go
@@ -143,6 +143,27 @@
 	s.checkChangesAfterDrill()
 }
 
+// A gateway that starts between a drill and the writing again must learn from the others what was in force before.
+func TestGatewayThatStartsAfterDrillLearnsWhatWasInForce(t *testing.T) {
+	s := launchDrillSite(t, 2)
+	must(t, s.CopyStore())
+	s.writeChanges()
+	s.waitForAll("the key is withdrawn", func(g *launcher.Process) bool {
+		return statusWith(t, g, withdrawnKey) == http.StatusUnauthorized
+	})
+	s.restore()
+	_, err := s.StartGateway()
+	must(t, err)
+	must(t, s.WaitUntilReady())
+	s.waitForAll("the key is withdrawn at the new gateway, too", func(g *launcher.Process) bool {
+		return statusWith(t, g, withdrawnKey) == http.StatusUnauthorized
+	})
+	s.checkDrillState()
+	s.writeChanges()
+	s.checkDrillState()
+	s.checkChangesAfterDrill()
+}
+
 // Guards against gateways that ignore what changes after a drill, lose what they knew before it, or flood the store.
 func TestGatewaysFollowStoreThatCameBackFromCopy(t *testing.T) {
 	cases := []struct {
--- a/experimenter/internal/prover/gateway_process.go
+++ b/experimenter/internal/prover/gateway_process.go
@@ -245,6 +245,11 @@
 		to.endpointReplica.RecordPeerEra(from.endpointReplica.Synced().Era, since)
 		to.outageReplica.RecordPeerEra(from.endpointReplica.Synced().Era, since)
 	}
+	isChanged := s.sendEarlier(from.endpointReplica, to.endpointReplica)
+	isChanged = s.sendEarlier(from.outageReplica, to.outageReplica) || isChanged
+	if isChanged {
+		s.rebuildView(to)
+	}
 	if s.canReachStore(to) {
 		return
 	}
@@ -259,6 +264,15 @@
 	}
 }
 
+// sendEarlier tells a gateway that has started since the store was restored what was known before.
+func (s *gatewaySimulation) sendEarlier(from, to *replicator.Replica) bool {
+	if !to.IsRecent() || from.EraSince() == 0 || s.now-from.EraSince() >= renewalTime {
+		return false
+	}
+
+	return to.LearnEarlier(from.Earlier(), from.Synced(), s.now)
+}
+
 // copyReplica updates a replica from another gateway's copy, which the store held at readAt, and reports whether anything
 // changed.
 func (s *gatewaySimulation) copyReplica(from, to *replicator.Replica, readAt timekeeper.Millis) bool {
--- a/router/internal/gateway/decode.go
+++ b/router/internal/gateway/decode.go
@@ -166,6 +166,21 @@
 	}
 }
 
+// isOutdatedConfiguration reports whether a restored store holds a configuration of a lower version than the known one. All else
+// that it holds of the operators counts.
+func isOutdatedConfiguration(known, restored replicator.Item) bool {
+	if restored.Key != platform.KeyConfiguration {
+		return false
+	}
+	older, err := platform.DecodeConfiguration(restored.Value)
+	if err != nil {
+		return true
+	}
+	newer, err := platform.DecodeConfiguration(known.Value)
+
+	return err == nil && older.Version < newer.Version
+}
+
 // isOutdatedEntry reports whether the entry of an endpoint that a restored store holds is older than the known one: it is of an
 // earlier process, or of the same one before it began to drain or left.
 func isOutdatedEntry(known, restored replicator.Item) bool {
--- a/router/internal/gateway/exchange.go
+++ b/router/internal/gateway/exchange.go
@@ -33,6 +33,8 @@
 	silence := storeSilence(response.News)
 	p.applyRangeCopy(p.gateway.operatorReplica, "operator", response.Operator, silence)
 	p.applyRangeCopy(p.gateway.endpointReplica, "endpoints", response.Endpoints, silence)
+	p.applyEarlierItems(p.gateway.operatorReplica, "operator", response.EarlierOperator)
+	p.applyEarlierItems(p.gateway.endpointReplica, "endpoints", response.EarlierEndpoints)
 }
 
 // storeSilence returns how long ago the store answered a peer; if it never did, longer than any period.
@@ -96,6 +98,7 @@
 		Era:     uint64(r.Synced().Era),
 		Content: r.ContentRevision(),
 		Synced:  r.HasSynced(),
+		Recent:  r.IsRecent() && p.gateway.clock.Now()-p.gateway.startedAt < operatorRewriteTime,
 		Wanted:  mayCopy && p.needsCopy(r),
 	}
 }
@@ -215,5 +218,8 @@
 		Operator:   newRangeCopy(r.Operator, p.gateway.operatorReplica),
 		Endpoints:  newRangeCopy(r.Endpoints, p.gateway.endpointReplica),
 		Placements: placements,
+
+		EarlierOperator:  p.gateway.newEarlierItems(r.Operator, p.gateway.operatorReplica),
+		EarlierEndpoints: p.gateway.newEarlierItems(r.Endpoints, p.gateway.endpointReplica),
 	}, nil
 }
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -71,13 +71,15 @@
 	b := balancer.NewBalancer(s.LoadMultiple, s.PeerListen, model.DomainID(s.Domain), budgeter.NewMembership(s.PeerListen, nil, clock.Now()))
 	r := budgeter.NewRetryBudget(budgeter.RetryLimits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow})
 	g := &Gateway{
-		settings:        s,
-		clock:           clock,
-		log:             log,
-		store:           platform.NewStore(s.StoreAddress),
-		pool:            pool,
-		forwarder:       forwarder.NewForwarder(b, r, pool, clock, log),
-		operatorReplica: replicator.NewReplica(replicator.Options{RewriteTime: operatorRewriteTime}),
+		settings:  s,
+		clock:     clock,
+		log:       log,
+		store:     platform.NewStore(s.StoreAddress),
+		pool:      pool,
+		forwarder: forwarder.NewForwarder(b, r, pool, clock, log),
+		operatorReplica: replicator.NewReplica(replicator.Options{
+			RewriteTime: operatorRewriteTime, RenewalTime: operatorRewriteTime, IsOutdated: isOutdatedConfiguration,
+		}),
 		endpointReplica: replicator.NewReplica(replicator.Options{
 			OutageThreshold: outageHeartbeats * s.HeartbeatInterval,
 			RewriteTime:     min(endpointRewriteTime, max(s.DrainTime-drainMargin, 0)),
