Endpoints of the stand-ins name a limit, and the gateway's log shows it

Why: no test could play an endpoint that names the requests a second it takes, and no log line told that one had. No decision uses it.

--- a/experimenter/internal/launcher/gateway_fleet.go
+++ b/experimenter/internal/launcher/gateway_fleet.go
@@ -283,6 +283,8 @@
 	RequestURI string      `json:"target"`
 	Header     http.Header `json:"header"`
 	Body       string      `json:"body"`
+	// ArrivedAt is a Unix time in milliseconds.
+	ArrivedAt int64 `json:"arrived-ms"`
 }
 
 // ExecutedRequests returns the requests that an endpoint has executed or is executing, and how many are still running.
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -38,6 +38,9 @@
 			logger.Int("attempts", p.endpointsReached))
 	}
 
+	if p.namedLimit > 0 {
+		fields = append(fields, logger.Int("limit-per-minute", int(60*p.namedLimit)))
+	}
 	if n := len(p.metadata.Prompt); n > 0 {
 		fields = append(fields,
 			logger.Hex("session", p.metadata.SessionID()),
--- a/standin/internal/responder/responder.go
+++ b/standin/internal/responder/responder.go
@@ -21,6 +21,7 @@
 	headerServerLoad     = "Cardamompulley-Server-Load"
 	headerTokenCounts    = "Cardamompulley-Token-Counts"
 	headerLastEventID    = "Last-Event-Id"
+	headerLimit          = "Server-Limit"
 )
 
 // Faults holds the faults that PUT /standin/faults injects.
@@ -45,6 +46,8 @@
 	ResponseBytes int `json:"long"`
 	// HoldRequests keeps requests running until their client disconnects.
 	HoldRequests bool `json:"hold"`
+	// Limit is the number of requests a second that the endpoint asks for in its answers. If 0, it names none.
+	Limit float64 `json:"limit"`
 }
 
 // ExecutedRequest is a request that the endpoint has executed or is executing.
@@ -54,6 +57,8 @@
 	RequestURI string      `json:"target"`
 	Header     http.Header `json:"header"`
 	Body       string      `json:"body"`
+	// ArrivedAt is a Unix time in milliseconds.
+	ArrivedAt int64 `json:"arrived-ms"`
 }
 
 // Responder is a stand-in for an endpoint of the platform.
@@ -91,6 +96,9 @@
 	p.mu.Unlock()
 	attemptID := r.Header.Get(headerAttemptID)
 	w.Header().Set(headerAttemptID, attemptID)
+	if f.Limit > 0 {
+		w.Header().Set(headerLimit, strconv.FormatFloat(f.Limit, 'f', -1, 64))
+	}
 	if target := r.Header.Get(headerTargetInstance); target != "" && target != p.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 
@@ -108,6 +116,7 @@
 	}
 	p.execute(w, r, f, ExecutedRequest{
 		AttemptID: attemptID, Method: r.Method, RequestURI: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
+		ArrivedAt: time.Now().UnixMilli(),
 	})
 }
 
