What limited endpoints do not take does not overrun the others

Cause: the choice among endpoints has no bound but the mean of its candidates, and the only candidate is its own mean. TestEndpointBesideLimitedOnesIsNotOverrun shows it: 200 requests at 64 slots.

Change: beside endpoints whose quota is used up, one whose slots are all known to be in use gets no more; the request is refused at once.

--- a/fleet/balancer/choose.go
+++ b/fleet/balancer/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/cataloguer"
@@ -121,13 +122,20 @@
 	if len(set.candidates) == 0 {
 		set.candidates = blocked
 	}
+	// What the endpoints with a quota do not take must not overrun the others.
 	if quotaWait < math.MaxInt64 {
 		set.retryAfter = quotaWait
+		set.candidates = slices.DeleteFunc(set.candidates, isFull)
 	}
 
 	return set
 }
 
+// isFull reports whether all slots of an endpoint are known to be in use.
+func isFull(c candidate) bool {
+	return c.endpoint.Slots > 0 && c.load >= c.endpoint.Slots
+}
+
 // quotaWait returns how long the request rates that an endpoint takes make this gateway wait before it may send the next request
 // there; zero means not at all.
 func (b *Balancer) quotaWait(e *cataloguer.Endpoint, s cataloguer.Service, sharers []string, now timekeeper.Millis) timekeeper.Millis {
--- a/fleet/balancer/limit_test.go
+++ b/fleet/balancer/limit_test.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// What limited endpoints do not take must not overrun the only other one.
+func TestEndpointBesideLimitedOnesIsNotOverrun(t *testing.T) {
+	const requests = 200
+	b := newTestBalancer()
+	v := newView(1, 4)
+	limit(b, 1, "e-0-0", "e-0-1", "e-0-2")
+	for n := range requests {
+		if c, refusal := b.Choose(v, Request{Service: testService, Session: uint64(1 + n)}, settled); refusal == nil {
+			b.RecordStart(c.Endpoint.ID, settled)
+		}
+	}
+	if load := b.Load("e-0-3"); load != 64 {
+		t.Errorf("%d requests at an endpoint with 64 slots", load)
+	}
+}
+
 // A session whose prompt another endpoint holds must not be sent to a limited one that lacks it.
 func TestLimitedEndpointServesSessionsThatItHolds(t *testing.T) {
 	b := newTestBalancer()
