Full endpoints are left alone only beside endpoints that name a limit

Cause: the change before took the quota of a cold start for a limit. Cold starts last seconds and have their own bound.

Change: only endpoints that name a limit and have no share left make full ones refuse. 1,000 schedules and 100 drawn by rapid: no violation.

--- a/fleet/balancer/choose.go
+++ b/fleet/balancer/choose.go
@@ -83,7 +83,7 @@
 func (b *Balancer) candidates(v *cataloguer.View, service cataloguer.Service, r Request, now timekeeper.Millis) candidateSet {
 	endpoints := v.Endpoints(r.Service)
 	set := candidateSet{candidates: make([]candidate, 0, len(endpoints)), retryAfter: noEndpointRetryAfter}
-	quotaWait := timekeeper.Millis(math.MaxInt64)
+	limitWait := timekeeper.Millis(math.MaxInt64)
 	var blocked []candidate
 	sharers := b.Membership.SettledMembers(now)
 	maxRunning := connectionShare(service, len(b.Membership.Members()))
@@ -99,8 +99,13 @@
 		if !v.CanTakeWork(e) || contains(r.Tried, e.ID) || s.running >= maxRunning {
 			continue
 		}
-		if wait := b.quotaWait(e, service, sharers, now); wait > 0 {
-			quotaWait = min(quotaWait, wait)
+		if wait := b.Limits.Wait(process(e), sharers, now); wait > 0 {
+			limitWait = min(limitWait, wait)
+
+			continue
+		}
+		if e.ColdUntil > now && !b.coldStarts.HasQuota(e.ID, b.coldStarts.Share(e.ID, service.MaxColdRequestsPerSecond, sharers), now) {
+			set.retryAfter = coldRetryAfter
 
 			continue
 		}
@@ -122,9 +127,9 @@
 	if len(set.candidates) == 0 {
 		set.candidates = blocked
 	}
-	// What the endpoints with a quota do not take must not overrun the others.
-	if quotaWait < math.MaxInt64 {
-		set.retryAfter = quotaWait
+	// What endpoints that name a limit do not take must not overrun the others.
+	if limitWait < math.MaxInt64 {
+		set.retryAfter = min(max(limitWait, minLimitRetryAfter), maxLimitRetryAfter)
 		set.candidates = slices.DeleteFunc(set.candidates, isFull)
 	}
 
@@ -136,20 +141,6 @@
 	return c.endpoint.Slots > 0 && c.load >= c.endpoint.Slots
 }
 
-// quotaWait returns how long the request rates that an endpoint takes make this gateway wait before it may send the next request
-// there; zero means not at all.
-func (b *Balancer) quotaWait(e *cataloguer.Endpoint, s cataloguer.Service, sharers []string, now timekeeper.Millis) timekeeper.Millis {
-	if wait := b.Limits.Wait(process(e), sharers, now); wait > 0 {
-		return min(max(wait, minLimitRetryAfter), maxLimitRetryAfter)
-	}
-	isCold := e.ColdUntil > now
-	if isCold && !b.coldStarts.HasQuota(e.ID, b.coldStarts.Share(e.ID, s.MaxColdRequestsPerSecond, sharers), now) {
-		return coldRetryAfter
-	}
-
-	return 0
-}
-
 // process returns the run of an endpoint, to which the limit that it names belongs.
 func process(e *cataloguer.Endpoint) budgeter.EndpointProcess {
 	return budgeter.EndpointProcess{ID: e.ID, StartedAt: e.StartedAt}
