Schedules of gateways play endpoints that name a limit

Endpoints begin and stop to name 0.25 to 10 requests a second beside all other faults; in any 4 s from 3 s after the naming, what reaches one from gateways that had received an answer with it 0.5 s before, and were not started, paused or cut off meanwhile, must stay within 1.5 times the limit and 5.

--- a/experimenter/internal/prover/gateway_process.go
+++ b/experimenter/internal/prover/gateway_process.go
@@ -31,7 +31,9 @@
 	// startTimes are the start times of all processes of this gateway, including restarts.
 	startTimes []timekeeper.Millis
 	// inSyncSince is the time since which the gateway has followed the store without interruption.
-	inSyncSince           timekeeper.Millis
+	inSyncSince timekeeper.Millis
+	// disturbedAt is when the process was last started, paused or cut off, or will be.
+	disturbedAt           timekeeper.Millis
 	pausedUntil           timekeeper.Millis
 	storeUnreachableUntil timekeeper.Millis
 	partitionedUntil      timekeeper.Millis
@@ -79,6 +81,7 @@
 		running:         map[model.EndpointID]int{},
 		startTimes:      append(previousStarts, s.now),
 		inSyncSince:     s.now,
+		disturbedAt:     s.now,
 	}
 }
 
@@ -113,10 +116,12 @@
 		s.restartGateway(g)
 	case 1:
 		g.pausedUntil = s.now + c.duration(3*timekeeper.Second)
+		g.disturbedAt = max(g.disturbedAt, g.pausedUntil)
 	case 2:
 		g.storeUnreachableUntil = s.now + c.duration(5*timekeeper.Second)
 	case 3:
 		g.partitionedUntil = s.now + c.duration(5*timekeeper.Second)
+		g.disturbedAt = max(g.disturbedAt, g.partitionedUntil)
 	case 4:
 		if c.oneIn(4) {
 			for _, g := range s.gateways {
@@ -238,6 +243,7 @@
 	for _, r := range from.balancer.ReportsFor(balancer.HashName(to.name), 200, s.now) {
 		to.balancer.MergeReport(r, s.now)
 	}
+	s.sendLimits(from, to)
 	if contact := from.endpointReplica.LastContact(); contact > 0 {
 		to.endpointReplica.RecordPeerContact(contact)
 	}
--- a/experimenter/internal/prover/gateway_request.go
+++ b/experimenter/internal/prover/gateway_request.go
@@ -96,6 +96,7 @@
 	if r.retryState.Reached > 0 {
 		s.traffic[r.service].retries = append(s.traffic[r.service].retries, s.now)
 	}
+	s.recordLimitedArrival(r.gateway, id)
 	state := s.endpoints[id]
 	if state.coldUntil > s.now {
 		state.coldArrivals = append(state.coldArrivals, s.now)
@@ -146,9 +147,13 @@
 	if refusal.Outcome != model.OutcomeNotRun || refusal.RetryAfter <= 0 {
 		s.recordViolation("refusals report not-run and a retry time", "%v has another outcome than not-run or no retry time", refusal)
 	}
+	isFull := func(e *cataloguer.Endpoint) bool {
+		return g.balancer.Limits.Count() > 0 && g.balancer.Load(e.ID) >= e.Slots
+	}
 	maxConnections := s.configuration.Services[r.service].MaxConnections
 	for _, e := range g.view.Endpoints(r.service) {
 		hasCapacity := maxConnections == 0 || g.running[e.ID] < max(maxConnections/len(g.balancer.Membership.Members()), 1)
+		hasCapacity = hasCapacity && s.hasQuota(g, e) && !isFull(e)
 		if g.view.CanTakeWork(e) && hasCapacity && e.ColdUntil <= s.now && !slices.Contains(r.tried, e.ID) {
 			s.recordViolation("no refusal while an endpoint has capacity",
 				"%s refused a request although %s has capacity", g.name, e.ID)
--- a/experimenter/internal/prover/gateway_simulation.go
+++ b/experimenter/internal/prover/gateway_simulation.go
@@ -24,6 +24,8 @@
 	AcceptsStaleCopies bool
 	// TakesCopiesAsFresh takes another gateway's copy of a range for what the store holds now.
 	TakesCopiesAsFresh bool
+	// IgnoresLimits sends requests to endpoints that name a limit as to others.
+	IgnoresLimits bool
 	// IgnoresEras orders what the store says by revision alone.
 	IgnoresEras bool
 	// DropsMissingAtOnce drops what a restored store lacks without giving its owners time to write it again.
@@ -100,6 +102,8 @@
 	isDeleted bool
 	removedAt timekeeper.Millis
 	coldUntil timekeeper.Millis
+	// limit is what the endpoint names in its answers, nil if it names none.
+	limit *endpointLimit
 	// coldArrivals are the times of the requests that reached the endpoint while it was cold.
 	coldArrivals []timekeeper.Millis
 }
@@ -213,8 +217,8 @@
 	}
 }
 
-// changeDeployment adds or removes an endpoint, takes a failure domain out of service or back in, starts a store outage, or lets
-// the store keep a copy or come back from it.
+// changeDeployment adds or removes an endpoint, takes a failure domain out of service or back in, starts a store outage, lets the
+// store keep a copy or come back from it, or lets an endpoint name a limit or none.
 func (s *gatewaySimulation) changeDeployment() {
 	c := s.choose
 	switch c(60) {
@@ -230,6 +234,8 @@
 		s.store.copy()
 	case 5:
 		s.startDrill()
+	case 6:
+		s.changeLimit(s.endpointIDs[c(len(s.endpointIDs))])
 	}
 }
 
--- a/experimenter/internal/prover/gateway_simulation_test.go
+++ b/experimenter/internal/prover/gateway_simulation_test.go
@@ -27,6 +27,7 @@
 		"ignores domains that are out":       {IgnoresDomainOutages: true},
 		"accepts stale copies of ranges":     {AcceptsStaleCopies: true},
 		"takes old copies for fresh ones":    {TakesCopiesAsFresh: true},
+		"ignores limits of endpoints":        {IgnoresLimits: true},
 		"ignores eras of the store":          {IgnoresEras: true},
 		"drops what a copy lacks at once":    {DropsMissingAtOnce: true},
 		"trusts what a copy brings back":     {TrustsRestoredEntries: true},
