--- a/experimenter/internal/launcher/gateway_limit_test.go
+++ b/experimenter/internal/launcher/gateway_limit_test.go
@@ -161,6 +161,7 @@
 
 // A limit that an endpoint does not name any more must not keep its requests away, and one that it names anew counts at once.
 func TestGatewaysUseEndpointAgainWhenItsLimitEnds(t *testing.T) {
+	t.Parallel()
 	const perSecond, phase = 60, 4 * time.Second
 	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways, s.Engines, s.PlainEndpoints = 4, 0, 2 })
 	waitForRetryBudget()
--- a/experimenter/internal/launcher/gateway_restored_store_test.go
+++ b/experimenter/internal/launcher/gateway_restored_store_test.go
@@ -128,6 +128,7 @@
 
 // A second drill within the time for writing again must not take back what the first one has left in force.
 func TestGatewaysKeepChangesOverDrillsInSeries(t *testing.T) {
+	t.Parallel()
 	s := launchDrillSite(t, 3)
 	must(t, s.CopyStore())
 	s.writeChanges()
@@ -145,6 +146,7 @@
 
 // A gateway that starts between a drill and the writing again must learn from the others what was in force before.
 func TestGatewayThatStartsAfterDrillLearnsWhatWasInForce(t *testing.T) {
+	t.Parallel()
 	s := launchDrillSite(t, 2)
 	must(t, s.CopyStore())
 	s.writeChanges()
@@ -176,6 +178,7 @@
 	}
 	for _, c := range cases {
 		t.Run(fmt.Sprintf("%d gateways, %d lost writes, one more: %v", c.gateways, c.lostWrites, c.startsLate), func(t *testing.T) {
+			t.Parallel()
 			s := launchDrillSite(t, c.gateways)
 			must(t, s.CopyStore())
 			s.writeChanges()
