A limit beyond any number of requests does not turn an endpoint off

What callers would see: an endpoint that names 1e308 requests a second used by nobody for 15 s at a time: the limit as a whole number overflowed, so the number of gateways that share it was negative. Found while reading. Limits over a million a second count as that. TestVeryHighLimitDoesNotBlock failed before (a wait of 14,900 ms) and passes.

--- a/fleet/budgeter/endpoint_limit.go
+++ b/fleet/budgeter/endpoint_limit.go
@@ -12,6 +12,8 @@
 const (
 	// minLimit is the limit in requests a second that stands in for a lower one, so that its end is noticed.
 	minLimit = 0.25
+	// maxLimit is the limit in requests a second that stands in for a higher one.
+	maxLimit = 1e6
 	// savedRequests is added to the limit to give the number of requests that all gateways together may save up.
 	savedRequests = 3
 	// minBurst is the least that each gateway with a share may save up, in requests. What it has beyond surplus is for any request.
@@ -148,7 +150,7 @@
 	if len(gateways) == 0 {
 		return unsettledWait
 	}
-	perSecond := max(known.PerSecond, minLimit)
+	perSecond := min(max(known.PerSecond, minLimit), maxLimit)
 	holders, burst := divide(perSecond, len(gateways))
 	position := l.rankFor(known, gateways, now)
 	if position >= holders {
--- a/fleet/budgeter/endpoint_limit_test.go
+++ b/fleet/budgeter/endpoint_limit_test.go
@@ -1,6 +1,7 @@
 package budgeter
 
 import (
+	"math"
 	"testing"
 
 	"cardamompulley/fleet/timekeeper"
@@ -120,6 +121,17 @@
 	}
 }
 
+func TestVeryHighLimitDoesNotBlock(t *testing.T) {
+	const now = 200
+	for _, perSecond := range []float64{1e9, math.MaxFloat64} {
+		l := NewEndpointLimiter("a")
+		l.Merge(namedAt(perSecond, 100))
+		if wait := l.Wait(limitedProcess, []string{"a", "b", "c"}, now); wait != 0 {
+			t.Errorf("%g a second: wait of %d ms", perSecond, wait)
+		}
+	}
+}
+
 func TestLimitFollowsTheNewestNotice(t *testing.T) {
 	gateways := []string{"a"}
 	unnamed := func(at timekeeper.Millis) LimitNotice { return LimitNotice{Endpoint: limitedProcess, At: at} }
