--- a/experimenter/internal/launcher/gateway_fleet.go
+++ b/experimenter/internal/launcher/gateway_fleet.go
@@ -1,7 +1,6 @@
 package launcher
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -64,9 +63,6 @@
 	configurationVersion model.Version
 }
 
-// ErrStandInRequest means that a stand-in answered a control request with a status other than 200.
-var ErrStandInRequest = errors.New("launcher: stand-in refused the request")
-
 // LaunchGateways starts a fleet and returns it when every gateway is ready. On errors it kills all processes. It returns
 // ErrNotStarted or ErrNotReady if a process does not start or get ready in time.
 func LaunchGateways(spec GatewaySpec) (*GatewayFleet, error) {
@@ -224,58 +220,11 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// PutItem writes an item of the store as JSON.
-func (f *GatewayFleet) PutItem(key string, value any) error {
-	raw, err := json.Marshal(value)
-	if err != nil {
-		return fmt.Errorf("launcher: encode item: %w", err)
-	}
-
-	return callStandIn(http.MethodPut, f.Store, "/items/"+key, raw)
-}
-
-func (f *GatewayFleet) deleteItem(key string) error {
-	return callStandIn(http.MethodDelete, f.Store, "/items/"+key, nil)
-}
-
-// SetStoreFaults replaces the faults of the store, given as JSON.
-func (f *GatewayFleet) SetStoreFaults(faults string) error {
-	return callStandIn(http.MethodPut, f.Store, "/faults", []byte(faults))
-}
-
-// CopyStore lets the store keep a copy of its content for RestoreStore.
-func (f *GatewayFleet) CopyStore() error {
-	return callStandIn(http.MethodPost, f.Store, "/copy", nil)
-}
-
-// RestoreStore lets the store come back from its copy, in a new era.
-func (f *GatewayFleet) RestoreStore() error {
-	return callStandIn(http.MethodPost, f.Store, "/restore", nil)
-}
-
 // SetEndpointFaults replaces the faults of an endpoint, given as JSON.
 func (f *GatewayFleet) SetEndpointFaults(id model.EndpointID, faults string) error {
 	return callStandIn(http.MethodPut, f.Endpoints[id], "/standin/faults", []byte(faults))
 }
 
-// callStandIn sends a control request to a stand-in.
-func callStandIn(method string, p *Process, path string, body []byte) error {
-	r, err := http.NewRequest(method, "http://"+p.Address("standin")+path, bytes.NewReader(body))
-	if err != nil {
-		return fmt.Errorf("launcher: create control request: %w", err)
-	}
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return fmt.Errorf("launcher: %s: %w", p.Name, err)
-	}
-	_ = response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%w: %s: status %d", ErrStandInRequest, p.Name, response.StatusCode)
-	}
-
-	return nil
-}
-
 // ExecutedRequest is a request that an endpoint has executed or is executing.
 type ExecutedRequest struct {
 	AttemptID  string      `json:"attempt"`
--- a/experimenter/internal/launcher/gateway_restored_store_test.go
+++ b/experimenter/internal/launcher/gateway_restored_store_test.go
@@ -126,15 +126,21 @@
 	})
 }
 
+// waitForWithdrawnKey waits until each gateway refuses the withdrawn key.
+func (s *drillSite) waitForWithdrawnKey() {
+	s.t.Helper()
+	s.waitForAll("the key is withdrawn", func(g *launcher.Process) bool {
+		return statusWith(s.t, g, withdrawnKey) == http.StatusUnauthorized
+	})
+}
+
 // A second drill within the time for writing again must not take back what the first one has left in force.
 func TestGatewaysKeepChangesOverDrillsInSeries(t *testing.T) {
 	t.Parallel()
 	s := launchDrillSite(t, 3)
 	must(t, s.CopyStore())
 	s.writeChanges()
-	s.waitForAll("the key is withdrawn", func(g *launcher.Process) bool {
-		return statusWith(t, g, withdrawnKey) == http.StatusUnauthorized
-	})
+	s.waitForWithdrawnKey()
 	for range 3 {
 		s.restore()
 		s.checkDrillState()
@@ -150,16 +156,12 @@
 	s := launchDrillSite(t, 2)
 	must(t, s.CopyStore())
 	s.writeChanges()
-	s.waitForAll("the key is withdrawn", func(g *launcher.Process) bool {
-		return statusWith(t, g, withdrawnKey) == http.StatusUnauthorized
-	})
+	s.waitForWithdrawnKey()
 	s.restore()
 	_, err := s.StartGateway()
 	must(t, err)
 	must(t, s.WaitUntilReady())
-	s.waitForAll("the key is withdrawn at the new gateway, too", func(g *launcher.Process) bool {
-		return statusWith(t, g, withdrawnKey) == http.StatusUnauthorized
-	})
+	s.waitForWithdrawnKey()
 	s.checkDrillState()
 	s.writeChanges()
 	s.checkDrillState()
@@ -183,9 +185,7 @@
 			must(t, s.CopyStore())
 			s.writeChanges()
 			s.writeUnrelated(c.lostWrites)
-			s.waitForAll("the key is withdrawn", func(g *launcher.Process) bool {
-				return statusWith(t, g, withdrawnKey) == http.StatusUnauthorized
-			})
+			s.waitForWithdrawnKey()
 			s.restore()
 			before := storeCallCount(t, s.GatewayFleet)
 			const checks = 10
--- /dev/null
+++ b/experimenter/internal/launcher/gateway_store.go
@@ -0,0 +1,36 @@
+package launcher
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+)
+
+// PutItem writes an item of the store as JSON.
+func (f *GatewayFleet) PutItem(key string, value any) error {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("launcher: encode item: %w", err)
+	}
+
+	return callStandIn(http.MethodPut, f.Store, "/items/"+key, raw)
+}
+
+func (f *GatewayFleet) deleteItem(key string) error {
+	return callStandIn(http.MethodDelete, f.Store, "/items/"+key, nil)
+}
+
+// SetStoreFaults replaces the faults of the store, given as JSON.
+func (f *GatewayFleet) SetStoreFaults(faults string) error {
+	return callStandIn(http.MethodPut, f.Store, "/faults", []byte(faults))
+}
+
+// CopyStore lets the store keep a copy of its content for RestoreStore.
+func (f *GatewayFleet) CopyStore() error {
+	return callStandIn(http.MethodPost, f.Store, "/copy", nil)
+}
+
+// RestoreStore lets the store come back from its copy, in a new era.
+func (f *GatewayFleet) RestoreStore() error {
+	return callStandIn(http.MethodPost, f.Store, "/restore", nil)
+}
