Sessions keep their endpoints when all endpoints of a service name limits

Cause: the mean load leaves out endpoints that name a limit; when all do, it is zero, each endpoint with two requests is over the bound, and affinity is lost.

Change: if all endpoints name a limit, the mean counts all.

--- a/fleet/balancer/choose.go
+++ b/fleet/balancer/choose.go
@@ -73,8 +73,8 @@
 	candidates []candidate
 	// outliers get trial requests only, unless no other endpoint can take the request.
 	outliers []candidate
-	// meanLoad includes endpoints that take no new work, as the operators' load bound does, but not those that name a limit: the
-	// others carry the load that these do not take.
+	// meanLoad includes endpoints that take no new work, as the operators' load bound does, but not those that name a limit, unless
+	// all do: the others carry the load that these do not take.
 	meanLoad float64
 	// retryAfter is how long a caller should wait before a retry if there is no candidate.
 	retryAfter timekeeper.Millis
@@ -87,12 +87,14 @@
 	var blocked []candidate
 	sharers := b.Membership.SettledMembers(now)
 	maxRunning := connectionShare(service, len(b.Membership.Members()))
-	total, unlimited := 0, 0
+	total, limitedTotal, unlimited := 0, 0, 0
 	for _, e := range endpoints {
 		s := b.state(e.ID)
 		c := candidate{endpoint: e, load: s.running + s.remoteRunning, score: hasher.Mix(r.Session ^ s.seed)}
 		c.isLimited = b.Limits.IsLimited(process(e))
-		if !c.isLimited {
+		if c.isLimited {
+			limitedTotal += c.load
+		} else {
 			total += c.load
 			unlimited++
 		}
@@ -119,6 +121,9 @@
 			set.candidates = append(set.candidates, c)
 		}
 	}
+	if unlimited == 0 {
+		total, unlimited = limitedTotal, len(endpoints)
+	}
 	set.meanLoad = float64(total) / float64(max(unlimited, 1))
 	// Outliers, then endpoints with an open breaker, are the last resort: the request may still succeed there.
 	if len(set.candidates) == 0 {
--- a/fleet/balancer/limit_test.go
+++ b/fleet/balancer/limit_test.go
@@ -103,3 +103,25 @@
 		}
 	}
 }
+
+// Sessions must stay where they are as long as the limits allow, also if all endpoints name one.
+func TestSessionsStayWhenAllEndpointsNameLimits(t *testing.T) {
+	const running = 6
+	b := newTestBalancer()
+	v := newView(1, 4)
+	limit(b, 50, "e-0-0", "e-0-1", "e-0-2", "e-0-3")
+	for _, e := range v.Endpoints(testService) {
+		for range running {
+			b.RecordStart(e.ID, settled)
+		}
+	}
+	r := sessionRequest()
+	first, _ := b.Choose(v, r, settled+timekeeper.Second)
+	for n := range timekeeper.Millis(5) {
+		now := settled + (n+2)*timekeeper.Second
+		c, refusal := b.Choose(v, r, now)
+		if refusal != nil || c.Endpoint != first.Endpoint || c.Reason == ReasonLeastLoaded {
+			t.Fatalf("request %d: chose %+v, refusal %v, want %s", n, c, refusal, first.Endpoint.ID)
+		}
+	}
+}
