Reading of the restored store: the item that the store holds is not called held

Why: in learnEarlierItem, held meant what the store holds, and beside heldBack it read as what is held back. Found in the reading of the whole change; names and one comment, no decision changes. Tests of the package pass.

--- a/fleet/replicator/earlier.go
+++ b/fleet/replicator/earlier.go
@@ -7,8 +7,8 @@
 	return r.hasSynced && r.restore.since == 0
 }
 
-// Earlier returns what the replica knows from before the store was restored, and what the store does not hold as far as is
-// known: items that it lacks, and items and deletions that are newer than what it holds.
+// Earlier returns what the replica knows from before the store was restored and the store has lost: the items that it lacks, and
+// the items and deletions that are newer than what it holds.
 func (r *Replica) Earlier() []Item {
 	var earlier []Item
 	for key, deferred := range r.deferredDeletions {
@@ -45,8 +45,8 @@
 
 // learnEarlierItem keeps an item that the store lacks, or lets it take the place of an older one that the store holds.
 func (r *Replica) learnEarlierItem(known Item, asOf Position, now timekeeper.Millis) bool {
-	held, isHeld := r.items[known.Key]
-	if !isHeld {
+	current, isPresent := r.items[known.Key]
+	if !isPresent {
 		if known.IsDeleted || r.currentAt >= r.restore.keepUntil {
 			return false
 		}
@@ -56,10 +56,10 @@
 		return true
 	}
 	until := r.restore.since + r.RenewalTime
-	if held.Compare(asOf) > 0 || r.currentAt >= until || r.IsOutdated == nil || !r.IsOutdated(known, held) {
+	if current.Compare(asOf) > 0 || r.currentAt >= until || r.IsOutdated == nil || !r.IsOutdated(known, current) {
 		return false
 	}
-	r.restore.heldBack[known.Key] = heldItem{Item: held, until: until}
+	r.restore.heldBack[known.Key] = heldItem{Item: current, until: until}
 	if known.IsDeleted {
 		r.drop(known, now)
 	} else {
