Reading of the limits: one type for the run of an endpoint, the mean load adds itself up, logged limits fit

Why: found in the reading of the whole change. The order of choices is the same: the tests of balancer, budgeter and forwarder pass unchanged but for the type's package.

--- a/experimenter/internal/prover/gateway_limit.go
+++ b/experimenter/internal/prover/gateway_limit.go
@@ -52,7 +52,7 @@
 // what the answer says of it.
 func (s *gatewaySimulation) recordLimitedArrival(g *gatewayProcess, id model.EndpointID) {
 	l := s.endpoints[id].limit
-	notice := budgeter.LimitNotice{Endpoint: budgeter.EndpointProcess{ID: id}, At: s.now}
+	notice := budgeter.LimitNotice{Endpoint: model.EndpointProcess{ID: id}, At: s.now}
 	if l != nil {
 		notice.IsAdvertised, notice.PerSecond = true, l.perSecond
 		l.arrivals = append(l.arrivals, limitedArrival{at: s.now, gateway: g})
@@ -99,7 +99,7 @@
 
 // hasQuota reports whether an endpoint takes another request from a gateway by what the gateway knows of its limit.
 func (s *gatewaySimulation) hasQuota(g *gatewayProcess, e *cataloguer.Endpoint) bool {
-	p := budgeter.EndpointProcess{ID: e.ID, StartedAt: e.StartedAt}
+	p := e.Process()
 
 	return g.balancer.Limits.Wait(p, g.balancer.Membership.SettledMembers(s.now), s.now) == 0
 }
--- a/fleet/balancer/choose.go
+++ b/fleet/balancer/choose.go
@@ -4,7 +4,6 @@
 	"math"
 	"slices"
 
-	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/hasher"
 	"cardamompulley/fleet/locator"
@@ -87,21 +86,16 @@
 	var blocked []candidate
 	sharers := b.Membership.SettledMembers(now)
 	maxRunning := connectionShare(service, len(b.Membership.Members()))
-	total, limitedTotal, unlimited := 0, 0, 0
+	var sum loadSum
 	for _, e := range endpoints {
 		s := b.state(e.ID)
 		c := candidate{endpoint: e, load: s.running + s.remoteRunning, score: hasher.Mix(r.Session ^ s.seed)}
-		c.isLimited = b.Limits.IsLimited(process(e))
-		if c.isLimited {
-			limitedTotal += c.load
-		} else {
-			total += c.load
-			unlimited++
-		}
+		c.isLimited = b.Limits.IsLimited(e.Process())
+		sum.add(&c)
 		if !v.CanTakeWork(e) || contains(r.Tried, e.ID) || s.running >= maxRunning {
 			continue
 		}
-		if wait := b.Limits.Wait(process(e), sharers, now); wait > 0 {
+		if wait := b.Limits.Wait(e.Process(), sharers, now); wait > 0 {
 			limitWait = min(limitWait, wait)
 
 			continue
@@ -111,7 +105,7 @@
 
 			continue
 		}
-		c.isReserved = c.isLimited && !b.Limits.HasSurplus(process(e))
+		c.isReserved = c.isLimited && !b.Limits.HasSurplus(e.Process())
 		switch {
 		case !s.breaker.IsClosed():
 			blocked = append(blocked, c)
@@ -121,10 +115,7 @@
 			set.candidates = append(set.candidates, c)
 		}
 	}
-	if unlimited == 0 {
-		total, unlimited = limitedTotal, len(endpoints)
-	}
-	set.meanLoad = float64(total) / float64(max(unlimited, 1))
+	set.meanLoad = sum.mean()
 	// Outliers, then endpoints with an open breaker, are the last resort: the request may still succeed there.
 	if len(set.candidates) == 0 {
 		set.candidates, set.outliers = set.outliers, nil
@@ -141,16 +132,37 @@
 	return set
 }
 
+// loadSum adds up the loads of endpoints, those that advertise a limit apart.
+type loadSum struct {
+	load, endpoints               int
+	limitedLoad, limitedEndpoints int
+}
+
+func (s *loadSum) add(c *candidate) {
+	if c.isLimited {
+		s.limitedLoad += c.load
+		s.limitedEndpoints++
+
+		return
+	}
+	s.load += c.load
+	s.endpoints++
+}
+
+// mean returns the mean load of the endpoints without a limit or, if all advertise one, of all.
+func (s *loadSum) mean() float64 {
+	if s.endpoints > 0 {
+		return float64(s.load) / float64(s.endpoints)
+	}
+
+	return float64(s.limitedLoad) / float64(max(s.limitedEndpoints, 1))
+}
+
 // isFull reports whether all slots of an endpoint are known to be in use.
 func isFull(c candidate) bool {
 	return c.endpoint.Slots > 0 && c.load >= c.endpoint.Slots
 }
 
-// process returns the run of an endpoint, to which the limit that it advertises belongs.
-func process(e *cataloguer.Endpoint) budgeter.EndpointProcess {
-	return budgeter.EndpointProcess{ID: e.ID, StartedAt: e.StartedAt}
-}
-
 // connectionShare returns the number of connections that this gateway may hold to each endpoint of a service.
 func connectionShare(s cataloguer.Service, gateways int) int {
 	if s.MaxConnections <= 0 {
--- a/fleet/balancer/limit_test.go
+++ b/fleet/balancer/limit_test.go
@@ -14,7 +14,7 @@
 // limit lets endpoints advertise a limit a second at the time settled.
 func limit(b *Balancer, perSecond float64, ids ...model.EndpointID) {
 	for _, id := range ids {
-		b.Limits.Merge(budgeter.LimitNotice{Endpoint: budgeter.EndpointProcess{ID: id}, PerSecond: perSecond, IsAdvertised: true, At: settled})
+		b.Limits.Merge(budgeter.LimitNotice{Endpoint: model.EndpointProcess{ID: id}, PerSecond: perSecond, IsAdvertised: true, At: settled})
 	}
 }
 
--- a/fleet/budgeter/endpoint_limit.go
+++ b/fleet/budgeter/endpoint_limit.go
@@ -31,15 +31,9 @@
 	unsettledWait = 500 * timekeeper.Millis(1)
 )
 
-// EndpointProcess is one run of an endpoint. StartedAt is zero if the start is not known.
-type EndpointProcess struct {
-	ID        model.EndpointID
-	StartedAt timekeeper.Millis
-}
-
 // LimitNotice is what an answer of an endpoint has said of its limit.
 type LimitNotice struct {
-	Endpoint EndpointProcess
+	Endpoint model.EndpointProcess
 	// PerSecond is the number of requests a second that the endpoint takes from all gateways together; it counts only if IsAdvertised
 	// is true.
 	PerSecond    float64
@@ -114,7 +108,7 @@
 }
 
 // advertised returns the limit that an endpoint advertises, or nil if it advertises none.
-func (l *EndpointLimiter) advertised(p EndpointProcess) *endpointLimit {
+func (l *EndpointLimiter) advertised(p model.EndpointProcess) *endpointLimit {
 	known, ok := l.limits[p.ID]
 	if !ok || !known.IsAdvertised || known.Endpoint != p {
 		return nil
@@ -124,7 +118,7 @@
 }
 
 // IsLimited reports whether an endpoint advertises a limit.
-func (l *EndpointLimiter) IsLimited(p EndpointProcess) bool {
+func (l *EndpointLimiter) IsLimited(p model.EndpointProcess) bool {
 	return l.advertised(p) != nil
 }
 
@@ -142,7 +136,7 @@
 
 // Wait returns how long this gateway must wait before it may send a request to an endpoint; zero means that it may now. The limit
 // is divided among gateways, which is empty while they are not known yet.
-func (l *EndpointLimiter) Wait(p EndpointProcess, gateways []string, now timekeeper.Millis) timekeeper.Millis {
+func (l *EndpointLimiter) Wait(p model.EndpointProcess, gateways []string, now timekeeper.Millis) timekeeper.Millis {
 	known := l.advertised(p)
 	if known == nil {
 		return 0
@@ -173,7 +167,7 @@
 }
 
 // HasSurplus reports whether this gateway has saved up more requests to an endpoint than those need that are best served there.
-func (l *EndpointLimiter) HasSurplus(p EndpointProcess) bool {
+func (l *EndpointLimiter) HasSurplus(p model.EndpointProcess) bool {
 	known := l.advertised(p)
 
 	return known != nil && known.tokens >= surplus
--- a/fleet/budgeter/endpoint_limit_test.go
+++ b/fleet/budgeter/endpoint_limit_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"testing"
 
+	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -13,7 +14,7 @@
 	limitContactTime = 3 * timekeeper.Second
 )
 
-var limitedProcess = EndpointProcess{ID: endpoint, StartedAt: 1}
+var limitedProcess = model.EndpointProcess{ID: endpoint, StartedAt: 1}
 
 func advertisedAt(perSecond float64, at timekeeper.Millis) LimitNotice {
 	return LimitNotice{Endpoint: limitedProcess, PerSecond: perSecond, IsAdvertised: true, At: at}
@@ -135,11 +136,11 @@
 func TestLimitFollowsTheNewestNotice(t *testing.T) {
 	gateways := []string{"a"}
 	notAdvertised := func(at timekeeper.Millis) LimitNotice { return LimitNotice{Endpoint: limitedProcess, At: at} }
-	restarted := EndpointProcess{ID: endpoint, StartedAt: 2}
+	restarted := model.EndpointProcess{ID: endpoint, StartedAt: 2}
 	cases := []struct {
 		name      string
 		record    func(l *EndpointLimiter) bool
-		process   EndpointProcess
+		process   model.EndpointProcess
 		isLimited bool
 		isChange  bool
 	}{
--- a/fleet/cataloguer/endpoint.go
+++ b/fleet/cataloguer/endpoint.go
@@ -23,3 +23,8 @@
 	// FirstSeen is the time at which this process first saw the endpoint.
 	FirstSeen timekeeper.Millis
 }
+
+// Process returns the run of the endpoint that wrote the entry.
+func (e *Endpoint) Process() model.EndpointProcess {
+	return model.EndpointProcess{ID: e.ID, StartedAt: e.StartedAt}
+}
--- a/router/internal/forwarder/limit.go
+++ b/router/internal/forwarder/limit.go
@@ -17,7 +17,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	notice := budgeter.LimitNotice{
-		Endpoint:     budgeter.EndpointProcess{ID: e.ID, StartedAt: e.StartedAt},
+		Endpoint:     e.Process(),
 		PerSecond:    m.Limit,
 		IsAdvertised: m.HasLimit,
 		At:           f.clock.Now(),
@@ -44,5 +44,13 @@
 
 		return
 	}
-	f.log.Write(logger.EventEndpointLimited, append(fields, logger.Int("limit-per-minute", int(60*n.PerSecond)))...)
+	f.log.Write(logger.EventEndpointLimited, append(fields, limitField(n.PerSecond))...)
+}
+
+// maxLoggedLimit bounds the requests a second that are logged, so that they fit into a whole number.
+const maxLoggedLimit = 1e9
+
+// limitField returns the log field of a limit in requests a second.
+func limitField(perSecond float64) logger.Field {
+	return logger.Int("limit-per-minute", int64(60*min(perSecond, maxLoggedLimit)))
 }
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -39,7 +39,7 @@
 	}
 
 	if p.advertisedLimit > 0 {
-		fields = append(fields, logger.Int("limit-per-minute", int(60*p.advertisedLimit)))
+		fields = append(fields, limitField(p.advertisedLimit))
 	}
 	if n := len(p.metadata.Prompt); n > 0 {
 		fields = append(fields,
--- a/router/internal/gateway/encoding.go
+++ b/router/internal/gateway/encoding.go
@@ -8,6 +8,7 @@
 	"cardamompulley/fleet/balancer"
 	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/locator"
+	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -106,7 +107,7 @@
 )
 
 // processHash returns the hash that stands for a run of an endpoint.
-func processHash(p budgeter.EndpointProcess) balancer.NameHash {
+func processHash(p model.EndpointProcess) balancer.NameHash {
 	return balancer.HashName(fmt.Sprintf("%s/%d", p.ID, p.StartedAt))
 }
 
@@ -133,7 +134,7 @@
 
 // decodeLimits decodes notices of known endpoints, which it looks up by their hashes. It stops at an incomplete notice and
 // leaves out unknown endpoints and numbers that are no limits.
-func decodeLimits(encoded []byte, known map[balancer.NameHash]budgeter.EndpointProcess, now timekeeper.Millis) []budgeter.LimitNotice {
+func decodeLimits(encoded []byte, known map[balancer.NameHash]model.EndpointProcess, now timekeeper.Millis) []budgeter.LimitNotice {
 	var notices []budgeter.LimitNotice
 	for ; len(encoded) >= encodedLimitBytes; encoded = encoded[encodedLimitBytes:] {
 		p, isKnown := known[readNameHash(encoded)]
--- a/router/internal/gateway/encoding_test.go
+++ b/router/internal/gateway/encoding_test.go
@@ -8,6 +8,7 @@
 	"cardamompulley/fleet/balancer"
 	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/locator"
+	"cardamompulley/fleet/model"
 )
 
 func TestPlacementsRoundTrip(t *testing.T) {
@@ -50,12 +51,12 @@
 
 func TestLimitNoticesSurviveEncoding(t *testing.T) {
 	const now = 100_000
-	a, b := budgeter.EndpointProcess{ID: "a", StartedAt: 5}, budgeter.EndpointProcess{ID: "b"}
-	known := map[balancer.NameHash]budgeter.EndpointProcess{processHash(a): a, processHash(b): b}
+	a, b := model.EndpointProcess{ID: "a", StartedAt: 5}, model.EndpointProcess{ID: "b"}
+	known := map[balancer.NameHash]model.EndpointProcess{processHash(a): a, processHash(b): b}
 	sent := []budgeter.LimitNotice{
 		{Endpoint: a, PerSecond: 2.5, IsAdvertised: true, At: now - 300},
 		{Endpoint: b, At: now},
-		{Endpoint: budgeter.EndpointProcess{ID: "a", StartedAt: 6}, PerSecond: 1, IsAdvertised: true, At: now},
+		{Endpoint: model.EndpointProcess{ID: "a", StartedAt: 6}, PerSecond: 1, IsAdvertised: true, At: now},
 		{Endpoint: a, PerSecond: 1, IsAdvertised: true, At: 0},
 	}
 	encoded := encodeLimits(sent, now)
@@ -70,8 +71,8 @@
 }
 
 func FuzzDecodeLimits(f *testing.F) {
-	p := budgeter.EndpointProcess{ID: "a"}
-	known := map[balancer.NameHash]budgeter.EndpointProcess{processHash(p): p}
+	p := model.EndpointProcess{ID: "a"}
+	known := map[balancer.NameHash]model.EndpointProcess{processHash(p): p}
 	f.Add(encodeLimits([]budgeter.LimitNotice{{Endpoint: p, PerSecond: 3, IsAdvertised: true}}, 0))
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		for _, n := range decodeLimits(encoded, known, 1000) {
--- a/router/internal/gateway/exchange.go
+++ b/router/internal/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/messenger"
+	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/quarantiner"
 	"cardamompulley/fleet/replicator"
 	"cardamompulley/fleet/timekeeper"
@@ -157,10 +158,9 @@
 	if len(encoded) == 0 || v == nil {
 		return
 	}
-	known := map[balancer.NameHash]budgeter.EndpointProcess{}
+	known := map[balancer.NameHash]model.EndpointProcess{}
 	for e := range v.AllEndpoints() {
-		process := budgeter.EndpointProcess{ID: e.ID, StartedAt: e.StartedAt}
-		known[processHash(process)] = process
+		known[processHash(e.Process())] = e.Process()
 	}
 	for _, n := range decodeLimits(encoded, known, p.gateway.clock.Now()) {
 		p.gateway.forwarder.MergeLimit(n)
