What another gateway only misses does not undo a deletion that was seen

What callers would see: requests at an endpoint that has left, for up to two seconds, from a gateway that started after the store was restored.

Cause: such a gateway learns what others keep because the store lacks it. An endpoint that left in the new era is missing at a gateway that reads later, which keeps it; the new one had seen the deletion, and took it back.

Change: an item removed in the current era is not learned from before it; removals are remembered for both ranges.

--- a/fleet/replicator/earlier.go
+++ b/fleet/replicator/earlier.go
@@ -47,7 +47,8 @@
 func (r *Replica) learnEarlierItem(known Item, asOf Position, now timekeeper.Millis) bool {
 	current, isPresent := r.items[known.Key]
 	if !isPresent {
-		if known.IsDeleted || r.currentAt >= r.restore.keepUntil {
+		isDeletedSince := r.restore.removals[known.Key].Era == r.synced.Era
+		if known.IsDeleted || isDeletedSince || r.currentAt >= r.restore.keepUntil {
 			return false
 		}
 		r.items[known.Key] = known
--- a/fleet/replicator/earlier_test.go
+++ b/fleet/replicator/earlier_test.go
@@ -49,3 +49,16 @@
 		t.Fatal("a replica has learned what is of another era")
 	}
 }
+
+// What another process keeps because the store lacks it must not come back where its deletion was seen.
+func TestEarlierItemDoesNotUndoDeletionOfThisEra(t *testing.T) {
+	veteran, _ := newRestoredPair()
+	recent := NewReplica(veteran.Options)
+	recent.Replace([]Item{entry("lost", "1", inEra(2, 35))}, inEra(2, 40), 1100, 1100)
+	recent.RecordPeerEra(2, 1000)
+	recent.Apply([]Item{deletionAt("lost", inEra(2, 41))}, inEra(2, 41), 1150, 1150)
+	recent.LearnEarlier(veteran.Earlier(), veteran.Synced(), 1200)
+	if holds(recent, "lost") {
+		t.Fatal("an item whose deletion was seen in this era is back")
+	}
+}
--- a/fleet/replicator/restore.go
+++ b/fleet/replicator/restore.go
@@ -135,9 +135,6 @@
 
 // rememberRemoval records an item that has been removed.
 func (r *Replica) rememberRemoval(item Item, now timekeeper.Millis) {
-	if r.IsOutdated == nil {
-		return
-	}
 	item.IsDeleted = true
 	r.restore.removals[item.Key] = removal{Item: item, at: now}
 }
