Software versions of endpoints and resumed attempts are decoded and logged

What callers saw: nothing yet.

The lines endpoint-added (software, started-at) and those of requests (software, resumes, last-event) carry them.

--- a/fleet/cataloguer/endpoint.go
+++ b/fleet/cataloguer/endpoint.go
@@ -7,10 +7,12 @@
 
 // Endpoint is an entry of the endpoint list. Cold times are in milliseconds.
 type Endpoint struct {
-	ID         model.EndpointID
-	Service    model.ServiceID
-	Address    string
-	Domain     model.DomainID
+	ID      model.EndpointID
+	Service model.ServiceID
+	Address string
+	Domain  model.DomainID
+	// Software is the version of the software that the endpoint runs, empty if it is not known.
+	Software   model.SoftwareVersion
 	Slots      int
 	IsDraining bool
 	// StartedAt is the start of the endpoint's process on its own clock, zero if it is not known. It tells processes apart that
--- a/fleet/model/id.go
+++ b/fleet/model/id.go
@@ -9,6 +9,9 @@
 // EndpointID identifies an endpoint.
 type EndpointID string
 
+// SoftwareVersion is the version of the software that an endpoint runs. Versions have no order.
+type SoftwareVersion string
+
 // DomainID identifies a failure domain.
 type DomainID string
 
--- a/fleet/model/request_metadata.go
+++ b/fleet/model/request_metadata.go
@@ -27,6 +27,8 @@
 	EstimatedOutputTokens Tokens
 	// LastEventID is the ID of the last stream event that the caller has received.
 	LastEventID string
+	// Resumes is the attempt that brought the first event of the stream that the caller resumes; empty if none is named.
+	Resumes AttemptID
 }
 
 // PartsBeforeLast returns the parts of the prompt except the last, which belongs to the request alone.
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -32,12 +32,16 @@
 	if e := p.choice.Endpoint; e != nil {
 		fields = append(fields,
 			logger.String("endpoint", e.ID),
+			logger.String("software", e.Software),
 			logger.String("reason", p.choice.Reason),
 			logger.Int("load", p.choice.Load),
 			logger.Int("mean-percent", int(100*p.choice.MeanLoad)),
 			logger.Int("attempts", p.endpointsReached))
 	}
 
+	if p.metadata.LastEventID != "" {
+		fields = append(fields, logger.String("resumes", p.metadata.Resumes), logger.String("last-event", p.metadata.LastEventID))
+	}
 	if p.advertisedLimit > 0 {
 		fields = append(fields, limitField(p.advertisedLimit))
 	}
--- a/router/internal/gateway/decode.go
+++ b/router/internal/gateway/decode.go
@@ -154,6 +154,7 @@
 func (g *Gateway) logEndpointChange(e, previous *cataloguer.Endpoint, p replicator.Position) {
 	fields := append([]logger.Field{
 		logger.String("endpoint", e.ID), logger.String("service", e.Service), logger.String("domain", e.Domain),
+		logger.String("software", e.Software), logger.Int("started-at", e.StartedAt),
 	}, positionFields(p)...)
 	if previous == nil {
 		g.log.Write(logger.EventEndpointAdded, append(fields, logger.Int("cold-ms", e.ColdRemaining))...)
