--- a/experimenter/internal/launcher/crash_site_test.go
+++ b/experimenter/internal/launcher/crash_site_test.go
@@ -98,7 +98,7 @@
 	s.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
 
-	return s.fleet.PutItem(imitator.KeyEndpoint(id), imitator.EndpointEntry(s.service, l.Addr().String(), "domain-0", false))
+	return s.fleet.PutItem(imitator.KeyEndpoint(id), imitator.Endpoint{Service: s.service, Address: l.Addr().String(), Domain: "domain-0"}.Entry())
 }
 
 func (s *crashSite) handle(w http.ResponseWriter, r *http.Request, id model.EndpointID, server *http.Server, l net.Listener) {
--- a/experimenter/internal/launcher/gateway_fleet.go
+++ b/experimenter/internal/launcher/gateway_fleet.go
@@ -59,7 +59,9 @@
 
 	processGroup
 
-	spec                 GatewaySpec
+	spec GatewaySpec
+	// entries holds the newest entry of each endpoint in the endpoint list.
+	entries              map[model.EndpointID]imitator.Endpoint
 	configurationVersion model.Version
 }
 
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &GatewayFleet{processGroup: g, spec: spec, Endpoints: map[model.EndpointID]*Process{}}
+	f := &GatewayFleet{processGroup: g, spec: spec, Endpoints: map[model.EndpointID]*Process{}, entries: map[model.EndpointID]imitator.Endpoint{}}
 	if err := f.startAll(); err != nil {
 		f.Kill()
 
@@ -110,21 +112,37 @@
 
 // StartEndpoint starts an endpoint of a service in a failure domain and registers it in the store.
 func (f *GatewayFleet) StartEndpoint(id model.EndpointID, service model.ServiceID, domain int) error {
-	p, err := f.startProgram(string(id), "standin", []string{"standin"}, "responder", "--id", string(id),
+	return f.StartEndpointOf(id, service, domain, "")
+}
+
+// StartEndpointOf starts an endpoint like StartEndpoint. If software is not empty, its entry and its events name that version.
+func (f *GatewayFleet) StartEndpointOf(id model.EndpointID, service model.ServiceID, domain int, software model.SoftwareVersion) error {
+	p, err := f.startProgram(string(id), "standin", []string{"standin"}, "responder", "--id", string(id), "--software", string(software),
 		"--events", fmt.Sprint(max(f.spec.EventsPerStream, 1)), "--gap-ms", fmt.Sprint(int64(f.spec.EventInterval)))
 	if err != nil {
 		return err
 	}
 	f.Endpoints[id] = p
+	f.entries[id] = imitator.Endpoint{Software: software, StartedAt: timekeeper.Millis(time.Now().UnixMilli())}
 
 	return f.RegisterEndpoint(id, service, domain, false)
 }
 
 // RegisterEndpoint writes the entry of an endpoint in the store.
 func (f *GatewayFleet) RegisterEndpoint(id model.EndpointID, service model.ServiceID, domain int, draining bool) error {
-	address := f.Endpoints[id].Address("standin")
+	e := f.entries[id]
+	e.Service, e.Address, e.Domain, e.IsDraining = service, f.Endpoints[id].Address("standin"), gatewayDomainID(domain), draining
+	f.entries[id] = e
+
+	return f.PutItem(imitator.KeyEndpoint(id), e.Entry())
+}
 
-	return f.PutItem(imitator.KeyEndpoint(id), imitator.EndpointEntry(service, address, gatewayDomainID(domain), draining))
+// KillGateways kills all gateways at once and forgets them, so that StartGateway starts the first one again.
+func (f *GatewayFleet) KillGateways() {
+	for _, g := range f.Gateways {
+		g.Kill()
+	}
+	f.Gateways = nil
 }
 
 // DeregisterEndpoint deletes the entry of an endpoint from the store.
--- a/experimenter/internal/launcher/gateway_store.go
+++ b/experimenter/internal/launcher/gateway_store.go
@@ -34,3 +34,8 @@
 func (f *GatewayFleet) RestoreStore() error {
 	return callStandIn(http.MethodPost, f.Store, "/restore", nil)
 }
+
+// CompactStore lets the store discard the history of its changes.
+func (f *GatewayFleet) CompactStore() error {
+	return callStandIn(http.MethodPost, f.Store, "/compact", nil)
+}
--- a/router/internal/gateway/decode_test.go
+++ b/router/internal/gateway/decode_test.go
@@ -13,7 +13,7 @@
 // entryItem returns the store item of an endpoint. The process that wrote it started at the time born.
 func entryItem(t *testing.T, p replicator.Position, isDraining bool, born, coldMS int) replicator.Item {
 	t.Helper()
-	entry := imitator.EndpointEntry("s", "10.0.0.1:80", "d", isDraining)
+	entry := imitator.Endpoint{Service: "s", Address: "10.0.0.1:80", Domain: "d", IsDraining: isDraining}.Entry()
 	entry["born"] = born
 	entry["cold-remaining-ms"] = coldMS
 	value, err := json.Marshal(entry)
--- a/standin/internal/cli/store_responder.go
+++ b/standin/internal/cli/store_responder.go
@@ -35,18 +35,22 @@
 	out             io.Writer
 	listen          string
 	id              string
+	software        string
 	eventsPerStream int
 	eventIntervalMS int64
 }
 
 func (*responderCommand) Name() string     { return "responder" }
 func (*responderCommand) Synopsis() string { return "simulate an endpoint of the platform" }
-func (*responderCommand) Usage() string    { return "responder --id ID [--events N] [--gap-ms N]\n" }
+func (*responderCommand) Usage() string {
+	return "responder --id ID [--software VERSION] [--events N] [--gap-ms N]\n"
+}
 
 // SetFlags registers the flags.
 func (r *responderCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&r.listen, "listen", "127.0.0.1:0", "address to listen on")
 	f.StringVar(&r.id, "id", "endpoint", "id of the endpoint")
+	f.StringVar(&r.software, "software", "", "software version that every event names")
 	f.IntVar(&r.eventsPerStream, "events", 20, "events per stream")
 	f.Int64Var(&r.eventIntervalMS, "gap-ms", 5, "time between events, in ms")
 }
@@ -54,6 +58,7 @@
 // Execute serves until the process is interrupted.
 func (r *responderCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	endpoint := responder.NewResponder(r.id, r.eventsPerStream, timekeeper.Millis(r.eventIntervalMS))
+	endpoint.Software = r.software
 
 	return serve(r.out, r.listen, endpoint.Handler())
 }
--- a/standin/internal/responder/responder.go
+++ b/standin/internal/responder/responder.go
@@ -63,7 +63,9 @@
 
 // Responder is a stand-in for an endpoint of the platform.
 type Responder struct {
-	id              string
+	id string
+	// Software is named in every event, unless it is empty.
+	Software        string
 	eventsPerStream int
 	eventInterval   timekeeper.Millis
 
@@ -200,13 +202,17 @@
 	if lastID, err := strconv.Atoi(r.Header.Get(headerLastEventID)); err == nil {
 		first = lastID + 1
 	}
+	suffix := ""
+	if p.Software != "" {
+		suffix = " of " + p.Software
+	}
 	for n := first; n <= p.eventsPerStream; n++ {
 		if f.AbortAfterEvents > 0 && n-first == f.AbortAfterEvents {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: half of", n)
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d%s\n\n", n, n, suffix)
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(p.eventInterval.Duration())
 	}
