--- a/fleet/balancer/choose.go
+++ b/fleet/balancer/choose.go
@@ -1,46 +1,21 @@
 package balancer
 
 import (
-	"math"
-	"slices"
-
 	"cardamompulley/fleet/cataloguer"
-	"cardamompulley/fleet/hasher"
 	"cardamompulley/fleet/locator"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
 
-const (
-	// loadSlack is added to the load bound; an endpoint with fewer running requests than this is never over the bound.
-	loadSlack = 2
-	// coldRetryAfter is sent if a cold endpoint has no quota left, noEndpointRetryAfter if no endpoint is available.
-	coldRetryAfter       = 300 * timekeeper.Millis(1)
-	noEndpointRetryAfter = 500 * timekeeper.Millis(1)
-	// minLimitRetryAfter and maxLimitRetryAfter bound the Retry-After sent if endpoints take no more requests a second. Another
-	// gateway, to which the caller may come, can have a larger share.
-	minLimitRetryAfter = 50 * timekeeper.Millis(1)
-	maxLimitRetryAfter = 2 * timekeeper.Second
-)
-
-// candidate is an endpoint that can be given the request.
-type candidate struct {
-	endpoint *cataloguer.Endpoint
-	load     int
-	// score is the rendezvous score of the endpoint for the session.
-	score uint64
-	// isLimited is true if the endpoint advertises the request rate that it takes, and isReserved if what is left of it is for sessions
-	// whose prompt it holds.
-	isLimited, isReserved bool
-}
+// loadSlack is added to the load bound; an endpoint with fewer running requests than this is never over the bound.
+const loadSlack = 2
 
 // Choose returns the endpoint for a request, or a refusal with outcome not-run if no endpoint can take it.
 func (b *Balancer) Choose(v *cataloguer.View, r Request, now timekeeper.Millis) (Choice, *model.Refusal) {
 	service := v.Configuration.Services[r.Service]
 	set := b.candidates(v, service, r, now)
 	if len(set.candidates) == 0 {
-		return Choice{}, model.NewRefusal(model.CodeNoEndpoint, "no endpoint of "+string(r.Service)+" can take the request").
-			WithRetryAfter(set.retryAfter)
+		return Choice{}, set.obstacles.refusal(r.Service)
 	}
 	if c := b.chooseTrial(set, r, now); c != nil {
 		return *c, nil
@@ -67,111 +42,6 @@
 	}
 }
 
-// candidateSet is the input of a choice among the endpoints of a service.
-type candidateSet struct {
-	candidates []candidate
-	// outliers get trial requests only, unless no other endpoint can take the request.
-	outliers []candidate
-	// meanLoad includes endpoints that take no new work, as the operators' load bound does, but not those that advertise a limit, unless
-	// all do: the others carry the load that these do not take.
-	meanLoad float64
-	// retryAfter is how long a caller should wait before a retry if there is no candidate.
-	retryAfter timekeeper.Millis
-}
-
-func (b *Balancer) candidates(v *cataloguer.View, service cataloguer.Service, r Request, now timekeeper.Millis) candidateSet {
-	endpoints := v.Endpoints(r.Service)
-	set := candidateSet{candidates: make([]candidate, 0, len(endpoints)), retryAfter: noEndpointRetryAfter}
-	limitWait := timekeeper.Millis(math.MaxInt64)
-	var blocked []candidate
-	sharers := b.Membership.SettledMembers(now)
-	maxRunning := connectionShare(service, len(b.Membership.Members()))
-	var sum loadSum
-	for _, e := range endpoints {
-		s := b.state(e.ID)
-		c := candidate{endpoint: e, load: s.running + s.remoteRunning, score: hasher.Mix(r.Session ^ s.seed)}
-		c.isLimited = b.Limits.IsLimited(e.Process())
-		sum.add(&c)
-		if !v.CanTakeWork(e) || contains(r.Tried, e.ID) || s.running >= maxRunning {
-			continue
-		}
-		if wait := b.Limits.Wait(e.Process(), sharers, now); wait > 0 {
-			limitWait = min(limitWait, wait)
-
-			continue
-		}
-		if e.ColdUntil > now && !b.coldStarts.HasQuota(e.ID, b.coldStarts.Share(e.ID, service.MaxColdRequestsPerSecond, sharers), now) {
-			set.retryAfter = coldRetryAfter
-
-			continue
-		}
-		c.isReserved = c.isLimited && !b.Limits.HasSurplus(e.Process())
-		switch {
-		case !s.breaker.IsClosed():
-			blocked = append(blocked, c)
-		case b.Outliers.IsOutlier(e.ID, now):
-			set.outliers = append(set.outliers, c)
-		default:
-			set.candidates = append(set.candidates, c)
-		}
-	}
-	set.meanLoad = sum.mean()
-	// Outliers, then endpoints with an open breaker, are the last resort: the request may still succeed there.
-	if len(set.candidates) == 0 {
-		set.candidates, set.outliers = set.outliers, nil
-	}
-	if len(set.candidates) == 0 {
-		set.candidates = blocked
-	}
-	// What endpoints that advertise a limit do not take must not overrun the others.
-	if limitWait < math.MaxInt64 {
-		set.retryAfter = min(max(limitWait, minLimitRetryAfter), maxLimitRetryAfter)
-		set.candidates = slices.DeleteFunc(set.candidates, isFull)
-	}
-
-	return set
-}
-
-// loadSum adds up the loads of endpoints, those that advertise a limit apart.
-type loadSum struct {
-	load, endpoints               int
-	limitedLoad, limitedEndpoints int
-}
-
-func (s *loadSum) add(c *candidate) {
-	if c.isLimited {
-		s.limitedLoad += c.load
-		s.limitedEndpoints++
-
-		return
-	}
-	s.load += c.load
-	s.endpoints++
-}
-
-// mean returns the mean load of the endpoints without a limit or, if all advertise one, of all.
-func (s *loadSum) mean() float64 {
-	if s.endpoints > 0 {
-		return float64(s.load) / float64(s.endpoints)
-	}
-
-	return float64(s.limitedLoad) / float64(max(s.limitedEndpoints, 1))
-}
-
-// isFull reports whether all slots of an endpoint are known to be in use.
-func isFull(c candidate) bool {
-	return c.endpoint.Slots > 0 && c.load >= c.endpoint.Slots
-}
-
-// connectionShare returns the number of connections that this gateway may hold to each endpoint of a service.
-func connectionShare(s cataloguer.Service, gateways int) int {
-	if s.MaxConnections <= 0 {
-		return math.MaxInt
-	}
-
-	return max(s.MaxConnections/max(gateways, 1), 1)
-}
-
 func contains(ids []model.EndpointID, id model.EndpointID) bool {
 	for _, other := range ids {
 		if other == id {
--- /dev/null
+++ b/fleet/balancer/obstacle.go
@@ -0,0 +1,139 @@
+package balancer
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+)
+
+// Obstacle is a reason for which an endpoint cannot take a request now. Refusals name the obstacles of all endpoints.
+type Obstacle string
+
+// The obstacles, in the order in which they are looked for.
+const (
+	// ObstacleNone means that the endpoint can take the request.
+	ObstacleNone Obstacle = ""
+	// ObstacleDraining means that the endpoint drains.
+	ObstacleDraining Obstacle = "draining"
+	// ObstacleDomainOut means that operators have taken the endpoint's failure domain out of service.
+	ObstacleDomainOut Obstacle = "domain-out"
+	// ObstacleTried means that the endpoint has failed the request.
+	ObstacleTried Obstacle = "tried"
+	// ObstacleConnections means that the gateway uses its share of the endpoint's connections.
+	ObstacleConnections Obstacle = "connections"
+	// ObstacleLimit means that the gateway has used its share of the request rate that the endpoint advertises.
+	ObstacleLimit Obstacle = "limit"
+	// ObstacleCold means that the gateway has used its share of the requests that a cold endpoint takes.
+	ObstacleCold Obstacle = "cold"
+	// ObstacleFull means that all slots of the endpoint are in use while others cannot take requests because of their limits.
+	ObstacleFull Obstacle = "full"
+)
+
+const (
+	// coldRetryAfter is sent if a cold endpoint has no quota left, noEndpointRetryAfter if no endpoint is available.
+	coldRetryAfter       = 300 * timekeeper.Millis(1)
+	noEndpointRetryAfter = 500 * timekeeper.Millis(1)
+	// minLimitRetryAfter and maxLimitRetryAfter bound the Retry-After sent if endpoints take no more requests a second. Another
+	// gateway, to which the caller may come, can have a larger share.
+	minLimitRetryAfter = 50 * timekeeper.Millis(1)
+	maxLimitRetryAfter = 2 * timekeeper.Second
+)
+
+// obstacleCheck is what a check of the endpoints of a service for one request has in common.
+type obstacleCheck struct {
+	view    *cataloguer.View
+	service cataloguer.Service
+	request *Request
+	now     timekeeper.Millis
+	// sharers are the gateways among which limits of the whole fleet are divided.
+	sharers []string
+	// maxRunning is the number of requests that this gateway may run at an endpoint.
+	maxRunning int
+}
+
+// findObstacle returns why an endpoint cannot take a request, and for how long as far as that is known.
+func (b *Balancer) findObstacle(k *obstacleCheck, c *candidate, s *endpointState) (Obstacle, timekeeper.Millis) {
+	e := c.endpoint
+	switch {
+	case e.IsDraining:
+		return ObstacleDraining, 0
+	case k.view.DomainsOut[e.Domain]:
+		return ObstacleDomainOut, 0
+	case contains(k.request.Tried, e.ID):
+		return ObstacleTried, 0
+	case s.running >= k.maxRunning:
+		return ObstacleConnections, 0
+	}
+	if wait := b.Limits.Wait(e.Process(), k.sharers, k.now); wait > 0 {
+		return ObstacleLimit, wait
+	}
+	if e.ColdUntil > k.now && !b.hasColdQuota(k, e) {
+		return ObstacleCold, 0
+	}
+
+	return ObstacleNone, 0
+}
+
+func (b *Balancer) hasColdQuota(k *obstacleCheck, e *cataloguer.Endpoint) bool {
+	share := b.coldStarts.Share(e.ID, k.service.MaxColdRequestsPerSecond, k.sharers)
+
+	return b.coldStarts.HasQuota(e.ID, share, k.now)
+}
+
+// obstacleCount counts the endpoints of a service by what keeps them from taking a request.
+type obstacleCount struct {
+	endpoints map[Obstacle]int
+	// limitWait is the shortest time until an endpoint with ObstacleLimit takes a request.
+	limitWait timekeeper.Millis
+}
+
+func (o *obstacleCount) add(reason Obstacle, wait timekeeper.Millis) {
+	if o.endpoints == nil {
+		o.endpoints = map[Obstacle]int{}
+	}
+	if reason == ObstacleLimit && (!o.has(ObstacleLimit) || wait < o.limitWait) {
+		o.limitWait = wait
+	}
+	o.endpoints[reason]++
+}
+
+func (o *obstacleCount) has(reason Obstacle) bool {
+	return o.endpoints[reason] > 0
+}
+
+// refusal returns the refusal of a request that no endpoint can take.
+func (o *obstacleCount) refusal(id model.ServiceID) *model.Refusal {
+	detail := fmt.Sprintf("no endpoint of %s can take the request%s", id, o.summary())
+
+	return model.NewRefusal(model.CodeNoEndpoint, detail).WithRetryAfter(o.retryAfter())
+}
+
+// summary returns the numbers of endpoints by obstacle, or nothing if the service has no endpoint.
+func (o *obstacleCount) summary() string {
+	var parts []string
+	for reason, n := range o.endpoints {
+		parts = append(parts, fmt.Sprintf("%s %d", reason, n))
+	}
+	if len(parts) == 0 {
+		return ""
+	}
+	slices.Sort(parts)
+
+	return ": " + strings.Join(parts, ", ")
+}
+
+// retryAfter returns how long a caller should wait before a retry.
+func (o *obstacleCount) retryAfter() timekeeper.Millis {
+	switch {
+	case o.has(ObstacleLimit):
+		return min(max(o.limitWait, minLimitRetryAfter), maxLimitRetryAfter)
+	case o.has(ObstacleCold):
+		return coldRetryAfter
+	default:
+		return noEndpointRetryAfter
+	}
+}
