A broken stream goes on only at an endpoint of the software version that began it

Cause: the choice for the next attempt took any endpoint of the service; the version of an entry was decoded nowhere. Ruled out: a stale list of endpoints; both entries were 7.8 s old. Change: the version of the endpoint that brought the first event is kept with the stream; the balancer has an obstacle for other versions. A stream whose version is not known does not go on.

--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -45,6 +45,8 @@
 	SharedParts []model.PromptPart
 	// CanRepeat is true if the request may run more than once.
 	CanRepeat bool
+	// Software is the only software version whose endpoints can take the request, empty for any.
+	Software model.SoftwareVersion
 	// Tried are the endpoints that have failed this request.
 	Tried []model.EndpointID
 }
--- a/fleet/balancer/obstacle.go
+++ b/fleet/balancer/obstacle.go
@@ -23,6 +23,8 @@
 	ObstacleDomainOut Obstacle = "domain-out"
 	// ObstacleTried means that the endpoint has failed the request.
 	ObstacleTried Obstacle = "tried"
+	// ObstacleSoftware means that the endpoint runs another software version than the request is for.
+	ObstacleSoftware Obstacle = "software"
 	// ObstacleConnections means that the gateway uses its share of the endpoint's connections.
 	ObstacleConnections Obstacle = "connections"
 	// ObstacleLimit means that the gateway has used its share of the request rate that the endpoint advertises.
@@ -65,6 +67,8 @@
 		return ObstacleDomainOut, 0
 	case contains(k.request.Tried, e.ID):
 		return ObstacleTried, 0
+	case k.request.Software != "" && e.Software != k.request.Software:
+		return ObstacleSoftware, 0
 	case s.running >= k.maxRunning:
 		return ObstacleConnections, 0
 	}
--- a/fleet/balancer/obstacle_test.go
+++ b/fleet/balancer/obstacle_test.go
@@ -22,6 +22,9 @@
 		{ObstacleDraining, func(_ *Balancer, v *cataloguer.View, _ *Request) { v.Endpoint(only).IsDraining = true }, noEndpointRetryAfter},
 		{ObstacleDomainOut, func(_ *Balancer, v *cataloguer.View, _ *Request) { v.DomainsOut["d-0"] = true }, noEndpointRetryAfter},
 		{ObstacleTried, func(_ *Balancer, _ *cataloguer.View, r *Request) { r.Tried = []model.EndpointID{only} }, noEndpointRetryAfter},
+		{ObstacleSoftware, func(_ *Balancer, v *cataloguer.View, r *Request) {
+			v.Endpoint(only).Software, r.Software = "v1", "v2"
+		}, noEndpointRetryAfter},
 		{ObstacleConnections, func(b *Balancer, v *cataloguer.View, _ *Request) {
 			service := v.Configuration.Services[testService]
 			service.MaxConnections = 1
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -231,6 +231,7 @@
 		Session:     p.metadata.SessionID(),
 		SharedParts: p.metadata.SharedPrefix(),
 		CanRepeat:   p.route.CanRepeat(),
+		Software:    p.stream.software,
 		Tried:       p.triedEndpoints,
 	}
 }
@@ -258,7 +259,13 @@
 // cannotRetry reports whether another attempt is pointless: the request has ended, or its stream has started and cannot be
 // resumed.
 func (p *proxiedRequest) cannotRetry() bool {
-	return p.ctx.Err() != nil || p.stream.hasStarted && (!p.route.IsResumable || p.stream.lastEventID == "")
+	return p.ctx.Err() != nil || p.stream.hasStarted && !p.canResume()
+}
+
+// canResume reports whether a stream that has started can go on at another endpoint. It goes on only at the software version
+// that began it.
+func (p *proxiedRequest) canResume() bool {
+	return p.route.IsResumable && p.stream.lastEventID != "" && p.stream.software != ""
 }
 
 // endpointRequest returns the request for the chosen endpoint. If a stream was interrupted, the request resumes it after the
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 
+	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/retrier"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/router/internal/connector"
@@ -22,6 +23,8 @@
 // streamState is the progress of a caller's event stream across all endpoints that have served parts of it.
 type streamState struct {
 	hasStarted bool
+	// software is the version that began the stream, empty if it has not started or the version is not known.
+	software model.SoftwareVersion
 	// lastEventID is the ID of the latest relayed event that has one, empty if none has.
 	lastEventID string
 	// pending holds the bytes that have been read but not relayed.
@@ -116,6 +119,7 @@
 // startStream sends the response head to the caller when the first events arrive.
 func (p *proxiedRequest) startStream(response *http.Response) {
 	p.stream.hasStarted = true
+	p.stream.software = p.choice.Endpoint.Software
 	p.finishPrefill()
 	firstByteSeconds.Update(float64(p.forwarder.clock.Now()-p.arrivedAt) / 1000)
 	p.writeHeader(response.StatusCode, endToEndHeaders(response.Header), -1)
