--- a/fleet/balancer/balancer_test.go
+++ b/fleet/balancer/balancer_test.go
@@ -251,3 +251,19 @@
 		}
 	}
 }
+
+// Guards against an endpoint that fetches what another software version has cached.
+func TestCacheSourceRunsSameSoftware(t *testing.T) {
+	v := newView(2, 4)
+	b := newTestBalancer()
+	r := sessionRequest()
+	first, _ := b.Choose(v, r, 0)
+	for e := range v.AllEndpoints() {
+		e.Software = "v2"
+	}
+	first.Endpoint.Software = "v1"
+	overload(b, first.Endpoint.ID)
+	if other, _ := b.Choose(v, r, minSourceAge); other.CacheSource != nil {
+		t.Fatalf("%s of %s fetches from %s of %s", other.Endpoint.ID, other.Endpoint.Software, other.CacheSource.ID, other.CacheSource.Software)
+	}
+}
--- a/fleet/balancer/cache_source.go
+++ b/fleet/balancer/cache_source.go
@@ -12,14 +12,14 @@
 const minSourceAge = 20 * timekeeper.Second
 
 // cacheSource returns the endpoint from which the chosen one can fetch the longest cached part of the prompt that it lacks,
-// or nil if it lacks none that another endpoint holds.
+// or nil if it lacks none that another endpoint of its software version holds.
 func (b *Balancer) cacheSource(v *cataloguer.View, r Request, chosen *cataloguer.Endpoint, now timekeeper.Millis) *cataloguer.Endpoint {
 	for i := len(r.SharedParts) - 1; i >= 0; i-- {
 		holders := b.holders.Holders(locator.HashPart(r.SharedParts[i].ID), now)
 		if contains(holders, chosen.ID) {
 			return nil
 		}
-		if e := b.firstReachable(v, holders); e != nil {
+		if e := b.firstReachable(v, holders, chosen.Software); e != nil {
 			return e
 		}
 		if r.SharedParts[i].ID != r.Session {
@@ -33,9 +33,10 @@
 	return nil
 }
 
-func (b *Balancer) firstReachable(v *cataloguer.View, ids []model.EndpointID) *cataloguer.Endpoint {
+// firstReachable returns the first of the endpoints that is reachable and runs a software version, or nil.
+func (b *Balancer) firstReachable(v *cataloguer.View, ids []model.EndpointID, software model.SoftwareVersion) *cataloguer.Endpoint {
 	for _, id := range ids {
-		if e := v.Endpoint(id); e != nil && b.state(id).breaker.IsClosed() {
+		if e := v.Endpoint(id); e != nil && e.Software == software && b.state(id).breaker.IsClosed() {
 			return e
 		}
 	}
@@ -44,7 +45,8 @@
 }
 
 // likelyHolder guesses which endpoint holds a session whose placement is not known here: other gateways will have sent it to
-// the reachable endpoint that ranks first among those known for minSourceAge. It returns nil if that is the chosen endpoint.
+// the reachable endpoint that ranks first among those known for minSourceAge. It returns nil if that is the chosen endpoint, or
+// one of another software version.
 func (b *Balancer) likelyHolder(endpoints []*cataloguer.Endpoint, session uint64, chosen *cataloguer.Endpoint, now timekeeper.Millis) *cataloguer.Endpoint {
 	var best *cataloguer.Endpoint
 	var bestScore uint64
@@ -57,7 +59,7 @@
 			best, bestScore = e, score
 		}
 	}
-	if best == chosen {
+	if best == chosen || best != nil && best.Software != chosen.Software {
 		return nil
 	}
 
