Streams that callers take up go on only at the software version that began them

Cause: Resumes was read nowhere, and which version began a stream was known only to the gateway that had passed on its first event, on a connection that is gone when the caller comes back, mostly elsewhere. Class: a fact that only the process that saw it knows, needed by another one after its death. Ruled out: a stale list of endpoints (lists were seconds old, versions in them right). Change (package resumer, decisions without network): - Each gateway remembers the versions that began its streams, as long as their callers wait, 50,000 at most. - It remembers which versions have served each service, and since when that is whole: from its own list, and from the changes that the store still holds, read back once at its start. Changes discarded early show by an endpoint that is younger than they should reach; a store that came back from a copy is not believed. - While one version alone can have begun the streams that callers still resume, nothing is sent. Otherwise the origin of each stream is told to two gateways chosen by rendezvous hashing; what was not told is told as soon as a second version appears. - A gateway that gets a take-up asks up to four others. It goes on at the version that one of them knows; or at the only one that all have seen, if one has a whole history and the store is not silent (or all have answered). Else it refuses at once, not run, with a Retry-After beyond the caller's time, as it does when no endpoint of the version is left. - An endpoint that starts again under its id with another version makes the origins of its latest streams uncertain, everywhere.

--- a/experimenter/internal/launcher/gateway_version_test.go
+++ b/experimenter/internal/launcher/gateway_version_test.go
@@ -113,8 +113,8 @@
 	must(t, f.WaitUntilReady())
 }
 
-// sendStreams sends attempts of all streams to gateways in turn, from the n-th on, and waits for their ends.
-func sendStreams(ctx context.Context, f *launcher.GatewayFleet, streams []*versionedStream, gateways ...*launcher.Process) *sync.WaitGroup {
+// sendStreams sends attempts of all streams that are not complete to gateways in turn.
+func sendStreams(ctx context.Context, streams []*versionedStream, gateways ...*launcher.Process) *sync.WaitGroup {
 	var w sync.WaitGroup
 	for n, s := range streams {
 		if s.isComplete() {
@@ -170,7 +170,7 @@
 				must(t, f.SetEndpointFaults(id, `{"cut-after": 12}`))
 			}
 			all := newStreams(streams)
-			sendStreams(t.Context(), f, all, f.Gateways...).Wait()
+			sendStreams(t.Context(), all, f.Gateways...).Wait()
 			if complete, joined := countStreams(all); joined > 0 || complete < x.minComplete {
 				t.Fatalf("%d streams complete, %d joined, want at least %d and none", complete, joined, x.minComplete)
 			}
@@ -228,20 +228,26 @@
 			t.Parallel()
 			f := launchVersions(t, 3, x.engines...)
 			all := newStreams(streams)
-			first := sendStreams(t.Context(), f, all, f.Gateways[0])
+			first := sendStreams(t.Context(), all, f.Gateways[0])
 			time.Sleep(400 * time.Millisecond)
 			x.breakOff(t, f)
 			first.Wait()
-			sendStreams(t.Context(), f, all, f.Gateways[1], f.Gateways[2]).Wait()
+			sendStreams(t.Context(), all, f.Gateways[1], f.Gateways[2]).Wait()
 			complete, joined := countStreams(all)
 			if joined > 0 || complete < x.minComplete {
 				t.Errorf("%d streams complete, %d joined, want at least %d and none", complete, joined, x.minComplete)
 			}
-			for _, s := range all {
-				if !s.isComplete() && s.retryAfter > 0 && s.retryAfter < s.timeLeft().Seconds() {
-					t.Errorf("a caller with %v left was told to come back in %v s for nothing", s.timeLeft(), s.retryAfter)
-				}
-			}
+			checkRetryAfter(t, all)
 		})
 	}
 }
+
+// checkRetryAfter checks that callers are not told to come back for nothing.
+func checkRetryAfter(t *testing.T, streams []*versionedStream) {
+	t.Helper()
+	for _, s := range streams {
+		if !s.isComplete() && s.retryAfter > 0 && s.retryAfter < s.timeLeft().Seconds() {
+			t.Errorf("a caller with %v left was told to come back in %v s for nothing", s.timeLeft(), s.retryAfter)
+		}
+	}
+}
--- a/fleet/balancer/obstacle.go
+++ b/fleet/balancer/obstacle.go
@@ -109,11 +109,26 @@
 	return o.endpoints[reason] > 0
 }
 
-// refusal returns the refusal of a request that no endpoint can take.
+func (o *obstacleCount) total() int {
+	total := 0
+	for _, n := range o.endpoints {
+		total += n
+	}
+
+	return total
+}
+
+// refusal returns the refusal of a request that no endpoint can take. Its code says so if no endpoint runs the software version
+// that the request is for, other than endpoints that drain.
 func (o *obstacleCount) refusal(id model.ServiceID) *model.Refusal {
 	detail := fmt.Sprintf("no endpoint of %s can take the request%s", id, o.summary())
 
-	return model.NewRefusal(model.CodeNoEndpoint, detail).WithRetryAfter(o.retryAfter())
+	code := model.CodeNoEndpoint
+	if o.has(ObstacleSoftware) && o.endpoints[ObstacleSoftware]+o.endpoints[ObstacleDraining] == o.total() {
+		code = model.CodeSoftwareGone
+	}
+
+	return model.NewRefusal(code, detail).WithRetryAfter(o.retryAfter())
 }
 
 // summary returns the numbers of endpoints by obstacle, or nothing if the service has no endpoint.
--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -34,6 +34,8 @@
 	EventStoreRestored            = Event{217, "store-restored", levelWarn, "The platform's store has come back from a copy: it lacks the latest changes and uses their revisions again."}
 	EventEndpointAdded            = Event{220, "endpoint-added", levelInfo, "An endpoint was added to the endpoint list."}
 	EventEndpointRemoved          = Event{221, "endpoint-removed", levelInfo, "An endpoint was removed from the endpoint list."}
+	EventHistoryRead              = Event{218, "history-read", levelInfo, "The changes that the store still holds were read, to learn which software versions have served before this process."}
+	EventHistoryUnread            = Event{219, "history-unread", levelWarn, "The changes that the store still holds could not be read."}
 	EventEndpointUnreadable       = Event{222, "endpoint-unreadable", levelWarn, "An entry of the endpoint list is invalid and was ignored."}
 	EventEndpointDown             = Event{300, "endpoint-down", levelWarn, "The endpoint does not respond."}
 	EventEndpointUp               = Event{301, "endpoint-up", levelInfo, "The endpoint responds again; it may be cold."}
@@ -56,6 +58,7 @@
 	EventStreamInterrupted        = Event{413, "stream-cut", levelWarn, "A stream was interrupted before its end."}
 	EventStreamResumed            = Event{414, "stream-resumed", levelInfo, "A stream was resumed at another endpoint."}
 	EventCallerDisconnected       = Event{415, "caller-gone", levelInfo, "The caller disconnected before its response was complete."}
+	EventStreamOriginFound        = Event{416, "stream-origin", levelInfo, "A caller resumes a stream: what the gateways know of the software version that began it."}
 )
 
 // AllEvents returns all events in ascending order of their numbers.
@@ -67,11 +70,12 @@
 		EventConfigAccepted, EventConfigInvalid, EventConfigConflict, EventConfigServiceUnreachable,
 		EventPeerExchangeFailed, EventVMListUnreachable, EventProcessRefused,
 		EventStoreUnreachable, EventStoreReachable, EventRangeReplaced, EventGatewayUnreachable, EventGatewayReachable,
-		EventDomainOutOfService, EventDomainInService, EventStoreRestored, EventEndpointAdded, EventEndpointRemoved, EventEndpointUnreadable,
+		EventDomainOutOfService, EventDomainInService, EventStoreRestored, EventHistoryRead, EventHistoryUnread, EventEndpointAdded, EventEndpointRemoved, EventEndpointUnreadable,
 		EventEndpointDown, EventEndpointUp, EventEndpointCold, EventEndpointDraining, EventOutlierDetected, EventOutlierRecovered,
 		EventEndpointLimited, EventEndpointUnlimited,
 		EventRequestSuspected, EventRequestQuarantined, EventSuspectLearned, EventSuspectCleared,
 		EventResponseMismatch, EventIncompleteResponse, EventRetryBudgetExhausted,
 		EventAttemptFailed, EventRequestServed, EventRequestRefused, EventStreamInterrupted, EventStreamResumed, EventCallerDisconnected,
+		EventStreamOriginFound,
 	}
 }
--- a/fleet/messenger/messengerconnect/gateway.connect.go
+++ b/fleet/messenger/messengerconnect/gateway.connect.go
@@ -35,6 +35,10 @@
 const (
 	// GatewayTradeProcedure is the fully-qualified name of the Gateway's Trade RPC.
 	GatewayTradeProcedure = "/cardamompulley.messenger.v1.Gateway/Trade"
+	// GatewayRecordOriginsProcedure is the fully-qualified name of the Gateway's RecordOrigins RPC.
+	GatewayRecordOriginsProcedure = "/cardamompulley.messenger.v1.Gateway/RecordOrigins"
+	// GatewayFindOriginProcedure is the fully-qualified name of the Gateway's FindOrigin RPC.
+	GatewayFindOriginProcedure = "/cardamompulley.messenger.v1.Gateway/FindOrigin"
 )
 
 // GatewayClient is a client for the cardamompulley.messenger.v1.Gateway service.
@@ -42,6 +46,10 @@
 	// Trade exchanges load counts, crash records and membership between two gateways, and returns the store entries that the
 	// caller is missing.
 	Trade(context.Context, *messenger.TradeRequest) (*messenger.TradeResponse, error)
+	// RecordOrigins tells a gateway which software versions began streams, so that it knows after the death of the sender.
+	RecordOrigins(context.Context, *messenger.RecordOriginsRequest) (*messenger.RecordOriginsResponse, error)
+	// FindOrigin asks what a gateway knows of the software version that began a stream.
+	FindOrigin(context.Context, *messenger.FindOriginRequest) (*messenger.FindOriginResponse, error)
 }
 
 // NewGatewayClient constructs a client for the cardamompulley.messenger.v1.Gateway service. By
@@ -61,12 +69,26 @@
 			connect.WithSchema(gatewayMethods.ByName("Trade")),
 			connect.WithClientOptions(opts...),
 		),
+		recordOrigins: connect.NewClient[messenger.RecordOriginsRequest, messenger.RecordOriginsResponse](
+			httpClient,
+			baseURL+GatewayRecordOriginsProcedure,
+			connect.WithSchema(gatewayMethods.ByName("RecordOrigins")),
+			connect.WithClientOptions(opts...),
+		),
+		findOrigin: connect.NewClient[messenger.FindOriginRequest, messenger.FindOriginResponse](
+			httpClient,
+			baseURL+GatewayFindOriginProcedure,
+			connect.WithSchema(gatewayMethods.ByName("FindOrigin")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gatewayClient implements GatewayClient.
 type gatewayClient struct {
-	trade *connect.Client[messenger.TradeRequest, messenger.TradeResponse]
+	trade         *connect.Client[messenger.TradeRequest, messenger.TradeResponse]
+	recordOrigins *connect.Client[messenger.RecordOriginsRequest, messenger.RecordOriginsResponse]
+	findOrigin    *connect.Client[messenger.FindOriginRequest, messenger.FindOriginResponse]
 }
 
 // Trade calls cardamompulley.messenger.v1.Gateway.Trade.
@@ -78,11 +100,33 @@
 	return nil, err
 }
 
+// RecordOrigins calls cardamompulley.messenger.v1.Gateway.RecordOrigins.
+func (c *gatewayClient) RecordOrigins(ctx context.Context, req *messenger.RecordOriginsRequest) (*messenger.RecordOriginsResponse, error) {
+	response, err := c.recordOrigins.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// FindOrigin calls cardamompulley.messenger.v1.Gateway.FindOrigin.
+func (c *gatewayClient) FindOrigin(ctx context.Context, req *messenger.FindOriginRequest) (*messenger.FindOriginResponse, error) {
+	response, err := c.findOrigin.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // GatewayHandler is an implementation of the cardamompulley.messenger.v1.Gateway service.
 type GatewayHandler interface {
 	// Trade exchanges load counts, crash records and membership between two gateways, and returns the store entries that the
 	// caller is missing.
 	Trade(context.Context, *messenger.TradeRequest) (*messenger.TradeResponse, error)
+	// RecordOrigins tells a gateway which software versions began streams, so that it knows after the death of the sender.
+	RecordOrigins(context.Context, *messenger.RecordOriginsRequest) (*messenger.RecordOriginsResponse, error)
+	// FindOrigin asks what a gateway knows of the software version that began a stream.
+	FindOrigin(context.Context, *messenger.FindOriginRequest) (*messenger.FindOriginResponse, error)
 }
 
 // NewGatewayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -98,10 +142,26 @@
 		connect.WithSchema(gatewayMethods.ByName("Trade")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayRecordOriginsHandler := connect.NewUnaryHandlerSimple(
+		GatewayRecordOriginsProcedure,
+		svc.RecordOrigins,
+		connect.WithSchema(gatewayMethods.ByName("RecordOrigins")),
+		connect.WithHandlerOptions(opts...),
+	)
+	gatewayFindOriginHandler := connect.NewUnaryHandlerSimple(
+		GatewayFindOriginProcedure,
+		svc.FindOrigin,
+		connect.WithSchema(gatewayMethods.ByName("FindOrigin")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cardamompulley.messenger.v1.Gateway/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayTradeProcedure:
 			gatewayTradeHandler.ServeHTTP(w, r)
+		case GatewayRecordOriginsProcedure:
+			gatewayRecordOriginsHandler.ServeHTTP(w, r)
+		case GatewayFindOriginProcedure:
+			gatewayFindOriginHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -114,3 +174,11 @@
 func (UnimplementedGatewayHandler) Trade(context.Context, *messenger.TradeRequest) (*messenger.TradeResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cardamompulley.messenger.v1.Gateway.Trade is not implemented"))
 }
+
+func (UnimplementedGatewayHandler) RecordOrigins(context.Context, *messenger.RecordOriginsRequest) (*messenger.RecordOriginsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cardamompulley.messenger.v1.Gateway.RecordOrigins is not implemented"))
+}
+
+func (UnimplementedGatewayHandler) FindOrigin(context.Context, *messenger.FindOriginRequest) (*messenger.FindOriginResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cardamompulley.messenger.v1.Gateway.FindOrigin is not implemented"))
+}
--- a/fleet/model/refusal.go
+++ b/fleet/model/refusal.go
@@ -53,6 +53,8 @@
 	CodeNoEndpoint              Code = "no-endpoint"
 	CodeEndpointUnreachable     Code = "endpoint-unreachable"
 	CodeNotReady                Code = "not-ready"
+	CodeStreamOriginUnknown     Code = "stream-origin-unknown"
+	CodeSoftwareGone            Code = "software-gone"
 )
 
 // ErrRefused matches every Refusal in errors.Is.
--- /dev/null
+++ b/fleet/resumer/origin_table.go
@@ -0,0 +1,184 @@
+package resumer
+
+import (
+	"maps"
+	"slices"
+
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+)
+
+const (
+	// maxOrigins limits the origins that are remembered, at about 200 bytes each.
+	maxOrigins = 50_000
+	// maxTellAttempts is how often an origin is sent to other gateways while some of them do not answer.
+	maxTellAttempts = 3
+	// expiryInterval is the time between two searches for origins that have expired.
+	expiryInterval = 2 * timekeeper.Second
+)
+
+// Origin is the software version that began a stream.
+type Origin struct {
+	Key StreamKey
+	// Software is empty if it is not certain.
+	Software model.SoftwareVersion
+	// Until is the time up to which the stream can be resumed.
+	Until timekeeper.Millis
+}
+
+// Beginning describes a stream that begins at an endpoint.
+type Beginning struct {
+	Origin
+
+	Service  model.ServiceID
+	Endpoint model.EndpointID
+}
+
+// originEntry is an origin in the table. One that another gateway has told has no endpoint.
+type originEntry struct {
+	Beginning
+
+	beganAt timekeeper.Millis
+	isTold  bool
+	// tellAttempts counts how often the origin was taken to be told.
+	tellAttempts int
+}
+
+// OriginTable remembers which software versions began streams, here and at gateways that have told so. Its size is limited. It is
+// not safe for concurrent use.
+type OriginTable struct {
+	// Evicted is the number of origins that were forgotten early because the table was full.
+	Evicted int
+
+	entries map[StreamKey]*originEntry
+	// order holds the keys of entries, the oldest first. It may hold keys that are gone.
+	order      []StreamKey
+	untold     []StreamKey
+	lastExpiry timekeeper.Millis
+}
+
+// NewOriginTable returns an empty table.
+func NewOriginTable() *OriginTable {
+	return &OriginTable{entries: map[StreamKey]*originEntry{}}
+}
+
+// RecordBeginning records a stream that has begun at an endpoint of this gateway.
+func (t *OriginTable) RecordBeginning(b Beginning, now timekeeper.Millis) {
+	e := t.merge(b.Origin, now)
+	e.Service, e.Endpoint, e.beganAt = b.Service, b.Endpoint, now
+	t.setUntold(e)
+}
+
+// Merge records an origin that another gateway has told.
+func (t *OriginTable) Merge(o Origin, now timekeeper.Millis) {
+	t.merge(o, now)
+}
+
+// merge stores an origin. An origin that differs from the known one of its key makes both uncertain.
+func (t *OriginTable) merge(o Origin, now timekeeper.Millis) *originEntry {
+	e, ok := t.entries[o.Key]
+	if ok && e.Until > now {
+		if e.Software != o.Software {
+			e.Software = ""
+		}
+		e.Until = max(e.Until, o.Until)
+
+		return e
+	}
+	if !ok {
+		t.makeRoom()
+		t.order = append(t.order, o.Key)
+	}
+	e = &originEntry{Beginning: Beginning{Origin: o}, isTold: true}
+	t.entries[o.Key] = e
+
+	return e
+}
+
+func (t *OriginTable) makeRoom() {
+	for len(t.entries) >= maxOrigins {
+		if _, ok := t.entries[t.order[0]]; ok {
+			delete(t.entries, t.order[0])
+			t.Evicted++
+		}
+		t.order = t.order[1:]
+	}
+}
+
+func (t *OriginTable) setUntold(e *originEntry) {
+	e.isTold = false
+	t.untold = append(t.untold, e.Key)
+}
+
+// Find returns the version that began a stream, empty if it is not certain. It returns false if nothing is known of the stream.
+func (t *OriginTable) Find(key StreamKey, now timekeeper.Millis) (model.SoftwareVersion, bool) {
+	e, ok := t.entries[key]
+	if !ok || e.Until <= now {
+		return "", false
+	}
+
+	return e.Software, true
+}
+
+// Doubt makes the origins of the streams uncertain that have begun here at an endpoint since a time.
+func (t *OriginTable) Doubt(id model.EndpointID, since timekeeper.Millis) {
+	for _, e := range t.entries {
+		if e.Endpoint == id && e.beganAt >= since && e.Software != "" {
+			e.Software = ""
+			e.tellAttempts = 0
+			t.setUntold(e)
+		}
+	}
+}
+
+// TakeUntold returns the origins of streams that have begun here, of services for which isNeeded returns true, that have not been
+// taken yet. Uncertain ones are always returned.
+func (t *OriginTable) TakeUntold(isNeeded func(model.ServiceID) bool, now timekeeper.Millis) []Origin {
+	var taken []Origin
+	t.untold = slices.DeleteFunc(t.untold, func(key StreamKey) bool {
+		e, ok := t.entries[key]
+		if !ok || e.isTold || e.Until <= now {
+			return true
+		}
+		if e.Software != "" && !isNeeded(e.Service) {
+			return false
+		}
+		e.isTold = true
+		e.tellAttempts++
+		taken = append(taken, e.Origin)
+
+		return true
+	})
+
+	return taken
+}
+
+// ReturnUntold returns origins that could not be told, so that they are taken again, up to maxTellAttempts times in all.
+func (t *OriginTable) ReturnUntold(origins []Origin) {
+	for _, o := range origins {
+		if e, ok := t.entries[o.Key]; ok && e.isTold && e.tellAttempts < maxTellAttempts {
+			t.setUntold(e)
+		}
+	}
+}
+
+// Expire forgets the origins of streams that cannot be resumed any more.
+func (t *OriginTable) Expire(now timekeeper.Millis) {
+	if now-t.lastExpiry < expiryInterval {
+		return
+	}
+	t.lastExpiry = now
+	maps.DeleteFunc(t.entries, func(_ StreamKey, e *originEntry) bool { return e.Until <= now })
+	isGone := func(key StreamKey) bool {
+		_, ok := t.entries[key]
+
+		return !ok
+	}
+	t.order = slices.DeleteFunc(slices.Clone(t.order), isGone)
+	t.untold = slices.DeleteFunc(t.untold, isGone)
+}
+
+// Count returns the number of origins.
+func (t *OriginTable) Count() int {
+	return len(t.entries)
+}
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/quarantiner"
+	"cardamompulley/fleet/resumer"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/platform"
 	"cardamompulley/router/internal/connector"
@@ -38,6 +39,13 @@
 	CurrentView func() *cataloguer.View
 	// IsShuttingDown reports whether the gateway is shutting down; responses then tell callers to close their connections.
 	IsShuttingDown func() bool
+	// AskOrigin asks other gateways what they know of a stream, and returns the number of those that did not answer. Asking ends
+	// with the context.
+	AskOrigin func(context.Context, OriginQuestion) ([]resumer.Testimony, int)
+	// TellOrigins makes the gateway tell others the untold origins soon.
+	TellOrigins func()
+	// StoreSilence returns the time since the store last answered this gateway or another one.
+	StoreSilence func() timekeeper.Millis
 	// StateReady is closed once the process has its first configuration and list of endpoints.
 	StateReady <-chan struct{}
 
@@ -53,17 +61,25 @@
 	crashTracker *quarantiner.CrashTracker
 	// crashChecks holds the running checks for crashes by endpoint.
 	crashChecks map[model.EndpointID]*crashCheck
+	origins     *resumer.OriginTable
+	versions    *resumer.VersionHistory
+	// longestWaits holds the longest time that a caller of each service has been ready to wait for a resumable stream.
+	longestWaits map[model.ServiceID]timekeeper.Millis
+	maxSilence   timekeeper.Millis
 }
 
 // NewForwarder returns a forwarder that sends requests over the connections of a pool. Its exported fields
 // must be set before it serves requests.
-func NewForwarder(b *balancer.Balancer, r *budgeter.RetryBudget, p *connector.Pool, clock timekeeper.Clock, log logger.Logger) *Forwarder {
+func NewForwarder(b *balancer.Balancer, r *budgeter.RetryBudget, l ResumeLimits, p *connector.Pool, clock timekeeper.Clock, log logger.Logger) *Forwarder {
 	crashTracker := quarantiner.NewCrashTracker()
 	crashTracker.FleetSize = func() int { return len(b.Membership.Members()) }
 
 	return &Forwarder{
 		CurrentView:    func() *cataloguer.View { return nil },
 		IsShuttingDown: func() bool { return false },
+		AskOrigin:      noOrigins,
+		TellOrigins:    func() {},
+		StoreSilence:   func() timekeeper.Millis { return 0 },
 		StateReady:     make(chan struct{}),
 		clock:          clock,
 		log:            log,
@@ -74,6 +90,10 @@
 		retryBudget:    r,
 		crashTracker:   crashTracker,
 		crashChecks:    map[model.EndpointID]*crashCheck{},
+		origins:        resumer.NewOriginTable(),
+		versions:       resumer.NewVersionHistory(l.Linger, clock.Now()),
+		longestWaits:   map[model.ServiceID]timekeeper.Millis{},
+		maxSilence:     l.MaxSilence,
 	}
 }
 
--- a/router/internal/forwarder/pooled_conn_test.go
+++ b/router/internal/forwarder/pooled_conn_test.go
@@ -114,7 +114,7 @@
 	view := cataloguer.NewView(c, nil, []*cataloguer.Endpoint{endpoint}, clock.Now())
 	b := balancer.NewBalancer(2, "self", "d", budgeter.NewMembership("self", nil, clock.Now()))
 	pool := connector.NewPool(connector.Timeouts{DialTimeout: timekeeper.Second, AckTimeout: timekeeper.Minute}, clock)
-	f := NewForwarder(b, budgeter.NewRetryBudget(budgeter.RetryLimits{Ratio: 1, Slack: 1, Window: timekeeper.Second}), pool, clock, logger.NewDiscard())
+	f := NewForwarder(b, budgeter.NewRetryBudget(budgeter.RetryLimits{Ratio: 1, Slack: 1, Window: timekeeper.Second}), ResumeLimits{}, pool, clock, logger.NewDiscard())
 	f.CurrentView = func() *cataloguer.View { return view }
 	ready := make(chan struct{})
 	close(ready)
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -103,9 +103,18 @@
 		return refusal
 	}
 
+	if p.route.IsResumable {
+		p.forwarder.recordWait(p.service, p.callerTimeLeft())
+	}
 	p.suspects = p.findSuspects()
+	if refusal := p.checkQuarantine(); refusal != nil {
+		return refusal
+	}
+	if p.metadata.LastEventID != "" {
+		return p.findOrigin()
+	}
 
-	return p.checkQuarantine()
+	return nil
 }
 
 // findSuspects returns what may crash an endpoint in the request: the request as a whole, and each part of its prompt that other
@@ -187,6 +196,11 @@
 	choice, refusal := p.forwarder.chooseEndpoint(p.view, p.balancerRequest())
 	if refusal == nil {
 		p.choice = choice
+
+		return nil
+	}
+	if refusal.Code == model.CodeSoftwareGone {
+		refusal.RetryAfter = p.afterDeadline()
 	}
 
 	return refusal
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -23,7 +23,7 @@
 // streamState is the progress of a caller's event stream across all endpoints that have served parts of it.
 type streamState struct {
 	hasStarted bool
-	// software is the version that began the stream, empty if it has not started or the version is not known.
+	// software is the version that began the stream, empty if it has not begun or the version is not known.
 	software model.SoftwareVersion
 	// lastEventID is the ID of the latest relayed event that has one, empty if none has.
 	lastEventID string
@@ -120,6 +120,7 @@
 func (p *proxiedRequest) startStream(response *http.Response) {
 	p.stream.hasStarted = true
 	p.stream.software = p.choice.Endpoint.Software
+	p.recordOrigin()
 	p.finishPrefill()
 	firstByteSeconds.Update(float64(p.forwarder.clock.Now()-p.arrivedAt) / 1000)
 	p.writeHeader(response.StatusCode, endToEndHeaders(response.Header), -1)
--- a/router/internal/gateway/decode.go
+++ b/router/internal/gateway/decode.go
@@ -8,6 +8,7 @@
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/replicator"
+	"cardamompulley/fleet/resumer"
 	"cardamompulley/platform"
 )
 
@@ -40,6 +41,7 @@
 		return
 	}
 	isFirst := g.view.Load() == nil
+	g.forwarder.UpdateVersions(func(h *resumer.VersionHistory) { h.Observe(endpoints, g.clock.Now()) })
 	g.view.Store(cataloguer.NewView(g.decoded.configuration, g.decoded.domainsOut, endpoints, g.clock.Now()))
 	if isFirst {
 		close(g.viewReady)
@@ -140,6 +142,7 @@
 	}
 	e.FirstSeen = g.clock.Now()
 	if previous.endpoint != nil {
+		g.doubtOrigins(&e, previous.endpoint)
 		e.FirstSeen = previous.endpoint.FirstSeen
 	}
 	if e.ColdRemaining > 0 {
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -62,7 +62,9 @@
 	// storePosition is that of the store's last answer.
 	storePosition replicator.Position
 	decoded       *decodedState
-	startedAt     timekeeper.Millis
+	// endpointsKnownAt is the latest time at which the list of endpoints was known to be whole.
+	endpointsKnownAt timekeeper.Millis
+	startedAt        timekeeper.Millis
 }
 
 // NewGateway returns a gateway without a view; it is not ready until Run has obtained one.
@@ -76,7 +78,7 @@
 		log:       log,
 		store:     platform.NewStore(s.StoreAddress),
 		pool:      pool,
-		forwarder: forwarder.NewForwarder(b, r, pool, clock, log),
+		forwarder: forwarder.NewForwarder(b, r, s.resumeLimits(), pool, clock, log),
 		operatorReplica: replicator.NewReplica(replicator.Options{
 			RewriteTime: operatorRewriteTime, RenewalTime: operatorRewriteTime, IsOutdated: isOutdatedConfiguration,
 		}),
@@ -93,6 +95,9 @@
 	g.peers = newPeers(g)
 	g.forwarder.CurrentView = g.view.Load
 	g.forwarder.StateReady = g.viewReady
+	g.forwarder.StoreSilence = g.storeSilence
+	g.forwarder.AskOrigin = g.peers.askOrigin
+	g.forwarder.TellOrigins = g.peers.originTeller.wake
 	g.forwarder.IsShuttingDown = g.isShuttingDown.Load
 
 	return g
@@ -112,6 +117,7 @@
 	var w conc.WaitGroup
 	w.Go(func() { g.followStore(ctx) })
 	w.Go(func() { g.peers.run(ctx) })
+	w.Go(func() { g.peers.tellOrigins(ctx) })
 	w.Go(func() { g.maintain(ctx) })
 	w.Go(func() { g.applyDueChanges(ctx) })
 	w.Wait()
@@ -154,6 +160,7 @@
 		isListed := func(id model.EndpointID) bool { return v.Endpoint(id) != nil }
 		g.peers.removeStale()
 		g.forwarder.ExpireLosses()
+		g.forwarder.ExpireOrigins()
 		g.pool.Prune(isListed)
 		var due []*cataloguer.Endpoint
 		var outliers, recovered []model.EndpointID
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -60,6 +60,8 @@
 	// isCopying is true while an exchange that asks for copies of ranges is in progress.
 	isCopying atomic.Bool
 	budget    *exchanger.ByteBudget
+	// originTeller wakes the part that tells other gateways the origins of streams.
+	originTeller originTeller
 	// chargedBytes is the part of the control traffic that the budget has been charged for.
 	chargedBytes int64
 }
@@ -78,12 +80,13 @@
 
 func newPeers(g *Gateway) *peers {
 	p := &peers{
-		gateway:    g,
-		httpClient: &http.Client{Transport: newPeerTransport(&g.controlTraffic)},
-		byAddress:  map[string]*peer{},
-		selector:   newPeerSelector(),
-		clients:    map[string]messengerconnect.GatewayClient{},
-		budget:     exchanger.NewByteBudget(gossipBytesPerSecond, gossipBurstBytes, g.clock.Now()),
+		gateway:      g,
+		httpClient:   &http.Client{Transport: newPeerTransport(&g.controlTraffic)},
+		byAddress:    map[string]*peer{},
+		selector:     newPeerSelector(),
+		clients:      map[string]messengerconnect.GatewayClient{},
+		originTeller: newOriginTeller(),
+		budget:       exchanger.NewByteBudget(gossipBytesPerSecond, gossipBurstBytes, g.clock.Now()),
 	}
 	p.addPeers(g.settings.Seeds)
 
--- a/router/internal/gateway/range_copies.go
+++ b/router/internal/gateway/range_copies.go
@@ -64,9 +64,13 @@
 	}
 	p.gateway.updateReplica("peer "+name, r, func(now timekeeper.Millis) bool {
 		if c.Changes {
+			p.gateway.recordChanges(r, items, now-silence)
+
 			return r.Apply(items, at, now-silence, now)
 		}
 
+		p.gateway.recordWholeList(r, at.Era, now-silence)
+
 		return r.Replace(items, at, now-silence, now)
 	})
 }
--- a/router/internal/gateway/store_sync.go
+++ b/router/internal/gateway/store_sync.go
@@ -138,11 +138,17 @@
 		return fmt.Errorf("%w: read of %s is of era %d, known is %d", platform.ErrStore, r.prefix, at.Era, known)
 	}
 	g.recordStorePosition(at)
+	isFirst := false
 	g.updateReplica(r.prefix, r.replica, func(now timekeeper.Millis) bool {
+		isFirst = r.replica.LastContact() == 0
 		r.replica.RecordContact(now)
+		g.recordWholeList(r.replica, at.Era, now)
 
 		return r.replica.Replace(items, at, now, now)
 	})
+	if isFirst && r.replica == g.endpointReplica {
+		go g.readHistory(ctx, items, at)
+	}
 
 	return nil
 }
@@ -212,6 +218,7 @@
 		inRange := slices.DeleteFunc(slices.Clone(events), func(i replicator.Item) bool { return !strings.HasPrefix(i.Key, r.prefix) })
 		g.updateReplica(r.prefix, r.replica, func(now timekeeper.Millis) bool {
 			r.replica.RecordContact(now)
+			g.recordChanges(r.replica, inRange, now)
 
 			return r.replica.Apply(inRange, at, now, now)
 		})
