Endpoints that have read a stream's own prompt part tell where it began when no gateway is left that knows

Cause: what only gateways know is gone with them. Ruled out: the store's history (both versions have served in the window), the starts of the endpoints (the change takes seconds, and so do the streams). Change: if no gateway knows, up to 16 endpoints are asked for the last part of the prompt, those first to which the session was sent most likely. The stream goes on at the version of those that hold it, if it is one. The evidence counts only while the last parts of a service's requests are seen to belong to one request each. Lists are kept for 2 s and read once for all callers. Test: the case of two versions that hold the prompts failed before (0 of 24 complete); with shared parts all are refused.

--- a/experimenter/internal/launcher/gateway_version_test.go
+++ b/experimenter/internal/launcher/gateway_version_test.go
@@ -25,6 +25,8 @@
 
 // versionedStream is what a caller has received of a stream, over all its attempts.
 type versionedStream struct {
+	// ownPart is the last part of the prompt.
+	ownPart      string
 	firstAttempt string
 	sentAt       time.Time
 	lastEvent    int
@@ -50,7 +52,8 @@
 // send sends an attempt that takes up the stream after the last event, or begins it, and reads it to its end.
 func (s *versionedStream) send(ctx context.Context, g *launcher.Process, session int) {
 	c := newGatewayCall(g, http.MethodPost, editsPath).asStream()
-	c.headers["Cardamompulley-Prompt-Prefix"] = fmt.Sprintf("a1:50,%x:50,c3:20", 0xb00+session)
+	c.headers["Cardamompulley-Prompt-Prefix"] = fmt.Sprintf("a1:50,%x:50,%s:20", 0xb00+session, s.ownPart)
+	c.body = fmt.Sprintf("question %d", session)
 	if s.sentAt.IsZero() {
 		s.sentAt = time.Now()
 	}
@@ -126,10 +129,15 @@
 	return &w
 }
 
-func newStreams(count int) []*versionedStream {
+// newStreams returns streams that have not begun. The last part of their prompts belongs to each alone, unless isShared is set.
+func newStreams(count int, isShared bool) []*versionedStream {
 	var streams []*versionedStream
-	for range count {
-		streams = append(streams, &versionedStream{versions: map[string]bool{}})
+	for n := range count {
+		ownPart := fmt.Sprintf("%x", 0xc0000+n)
+		if isShared {
+			ownPart = "c3"
+		}
+		streams = append(streams, &versionedStream{versions: map[string]bool{}, ownPart: ownPart})
 	}
 
 	return streams
@@ -169,7 +177,7 @@
 			for _, id := range x.cut {
 				must(t, f.SetEndpointFaults(id, `{"cut-after": 12}`))
 			}
-			all := newStreams(streams)
+			all := newStreams(streams, false)
 			sendStreams(t.Context(), all, f.Gateways...).Wait()
 			if complete, joined := countStreams(all); joined > 0 || complete < x.minComplete {
 				t.Fatalf("%d streams complete, %d joined, want at least %d and none", complete, joined, x.minComplete)
@@ -197,37 +205,40 @@
 		// breakOff breaks the streams off, at the first gateway or at all.
 		breakOff    func(*testing.T, *launcher.GatewayFleet)
 		minComplete int
+		// sharesParts is true if the prompts of all streams end with the same part.
+		sharesParts bool
 	}{
 		{"a gateway and an engine of each version are killed", two, func(_ *testing.T, f *launcher.GatewayFleet) {
 			f.Gateways[0].Kill()
 			f.Endpoints["a1"].Kill()
 			f.Endpoints["b1"].Kill()
-		}, streams / 2},
+		}, streams / 2, true},
 		{"a gateway is killed just after the second version has come", old, func(t *testing.T, f *launcher.GatewayFleet) {
 			startEngines(t, f, two[2:]...)
 			time.Sleep(500 * time.Millisecond)
 			f.Gateways[0].Kill()
-		}, streams / 2},
+		}, streams / 2, true},
 		{"all gateways and an engine are killed beside two versions", two, func(t *testing.T, f *launcher.GatewayFleet) {
 			f.Endpoints["a1"].Kill()
 			restartGateways(t, f)
-		}, 0},
+		}, 0, true},
+		{"all gateways are killed beside two versions that hold the prompts", two, restartGateways, streams / 2, false},
 		{"all gateways are killed after the old version has left", old, func(t *testing.T, f *launcher.GatewayFleet) {
 			leave(t, f)
 			restartGateways(t, f)
-		}, 0},
+		}, 0, true},
 		{"all gateways are killed after the old version has left and history is gone", old, func(t *testing.T, f *launcher.GatewayFleet) {
 			leave(t, f)
 			must(t, f.CompactStore())
 			restartGateways(t, f)
-		}, 0},
-		{"all gateways are killed beside one version", old, restartGateways, streams / 2},
+		}, 0, true},
+		{"all gateways are killed beside one version", old, restartGateways, streams / 2, true},
 	}
 	for _, x := range cases {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
 			f := launchVersions(t, 3, x.engines...)
-			all := newStreams(streams)
+			all := newStreams(streams, x.sharesParts)
 			first := sendStreams(t.Context(), all, f.Gateways[0])
 			time.Sleep(400 * time.Millisecond)
 			x.breakOff(t, f)
--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -45,6 +45,7 @@
 	EventOutlierRecovered         = Event{305, "endpoint-trusted", levelInfo, "The endpoint is no longer an outlier."}
 	EventEndpointLimited          = Event{306, "endpoint-limited", levelWarn, "The endpoint has advertised, or changed, the requests a second that it takes from all gateways."}
 	EventEndpointUnlimited        = Event{307, "endpoint-unlimited", levelInfo, "The endpoint does not advertise a limit any more."}
+	EventCacheListUnread          = Event{308, "cache-list-unread", levelWarn, "The endpoint has not listed what it has cached."}
 	EventRequestSuspected         = Event{310, "request-suspected", levelWarn, "A request was in flight when its endpoint crashed; the crash counts against it, or against a part of its prompt."}
 	EventRequestQuarantined       = Event{311, "request-condemned", levelAlarm, "A request has crashed as many endpoints as are tolerated and is quarantined."}
 	EventSuspectLearned           = Event{312, "suspect-learned", levelInfo, "Another gateway has reported crashes of a request that this one did not know."}
@@ -72,7 +73,7 @@
 		EventStoreUnreachable, EventStoreReachable, EventRangeReplaced, EventGatewayUnreachable, EventGatewayReachable,
 		EventDomainOutOfService, EventDomainInService, EventStoreRestored, EventHistoryRead, EventHistoryUnread, EventEndpointAdded, EventEndpointRemoved, EventEndpointUnreadable,
 		EventEndpointDown, EventEndpointUp, EventEndpointCold, EventEndpointDraining, EventOutlierDetected, EventOutlierRecovered,
-		EventEndpointLimited, EventEndpointUnlimited,
+		EventEndpointLimited, EventEndpointUnlimited, EventCacheListUnread,
 		EventRequestSuspected, EventRequestQuarantined, EventSuspectLearned, EventSuspectCleared,
 		EventResponseMismatch, EventIncompleteResponse, EventRetryBudgetExhausted,
 		EventAttemptFailed, EventRequestServed, EventRequestRefused, EventStreamInterrupted, EventStreamResumed, EventCallerDisconnected,
--- /dev/null
+++ b/router/internal/forwarder/cache_list.go
@@ -0,0 +1,140 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/platform"
+	"cardamompulley/router/internal/connector"
+)
+
+const (
+	// cacheListLifetime is how long the list of an endpoint's cached parts is used; listing delays the endpoint's work.
+	cacheListLifetime = 2 * timekeeper.Second
+	// cacheListTimeout bounds the time that an endpoint has to list its cached parts. A caller waits for the answer.
+	cacheListTimeout = 250 * timekeeper.Millis(1)
+	// maxCacheListBytes is the size beyond which a list is not read.
+	maxCacheListBytes = 4 << 20
+)
+
+var cacheListsRead = metrics.NewCounter("gateway_cache_lists_read_total")
+
+// errNoCacheList means that an endpoint does not list its cached parts.
+var errNoCacheList = errors.New("forwarder: the endpoint does not list its cached parts")
+
+// cacheList is what an endpoint has cached, as it said at a time. Its other fields count once done is closed.
+type cacheList struct {
+	done   chan struct{}
+	readAt timekeeper.Millis
+	parts  map[platform.CachedPart]bool
+	err    error
+}
+
+// cacheLists holds the lists of endpoints that were read a short time ago or are being read.
+type cacheLists struct {
+	pool  *connector.Pool
+	clock timekeeper.Clock
+
+	mu        sync.Mutex
+	byProcess map[model.EndpointProcess]*cacheList
+}
+
+func newCacheLists(p *connector.Pool, clock timekeeper.Clock) *cacheLists {
+	return &cacheLists{pool: p, clock: clock, byProcess: map[model.EndpointProcess]*cacheList{}}
+}
+
+// holds reports whether an endpoint has cached a part.
+func (l *cacheLists) holds(ctx context.Context, e *cataloguer.Endpoint, part platform.CachedPart) (bool, error) {
+	list := l.list(e)
+	select {
+	case <-list.done:
+		return list.parts[part], list.err
+	case <-ctx.Done():
+		return false, fmt.Errorf("list of %s: %w", e.ID, ctx.Err())
+	}
+}
+
+// list returns the newest list of an endpoint and starts to read it if it is too old.
+func (l *cacheLists) list(e *cataloguer.Endpoint) *cacheList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if list, ok := l.byProcess[e.Process()]; ok && l.clock.Now()-list.readAt < cacheListLifetime {
+		return list
+	}
+	list := &cacheList{done: make(chan struct{}), readAt: l.clock.Now()}
+	l.byProcess[e.Process()] = list
+	go l.read(e, list)
+
+	return list
+}
+
+// expire forgets the lists that are too old.
+func (l *cacheLists) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for process, list := range l.byProcess {
+		if l.clock.Now()-list.readAt >= cacheListLifetime {
+			delete(l.byProcess, process)
+		}
+	}
+}
+
+// read reads the list of an endpoint.
+func (l *cacheLists) read(e *cataloguer.Endpoint, list *cacheList) {
+	defer close(list.done)
+	ctx, cancel := context.WithTimeout(context.Background(), cacheListTimeout.Duration())
+	defer cancel()
+	cacheListsRead.Inc()
+	raw, err := l.fetch(ctx, e)
+	if err != nil {
+		list.err = fmt.Errorf("list of %s: %w", e.ID, err)
+
+		return
+	}
+	parts, err := platform.DecodeCacheList(raw)
+	if err != nil {
+		list.err = fmt.Errorf("list of %s: %w", e.ID, err)
+
+		return
+	}
+	list.parts = make(map[platform.CachedPart]bool, len(parts))
+	for _, part := range parts {
+		list.parts[part] = true
+	}
+}
+
+func (l *cacheLists) fetch(ctx context.Context, e *cataloguer.Endpoint) ([]byte, error) {
+	conn, err := l.pool.Get(ctx, e.ID, e.Address)
+	if err != nil {
+		return nil, err
+	}
+	response, err := conn.Send(&connector.Request{
+		Method: http.MethodGet, RequestURI: platform.PathCacheList, Host: e.Address, Header: http.Header{},
+	})
+	if err != nil {
+		conn.Close()
+
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxCacheListBytes))
+	if err != nil || len(raw) == maxCacheListBytes || !conn.IsReusableAfter(response) {
+		conn.Close()
+	} else {
+		l.pool.Put(conn)
+	}
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%w: status %d", errNoCacheList, response.StatusCode)
+	}
+
+	return raw, err
+}
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -66,6 +66,8 @@
 	// longestWaits holds the longest time that a caller of each service has been ready to wait for a resumable stream.
 	longestWaits map[model.ServiceID]timekeeper.Millis
 	maxSilence   timekeeper.Millis
+	partOwners   map[model.ServiceID]*resumer.PartOwners
+	cacheLists   *cacheLists
 }
 
 // NewForwarder returns a forwarder that sends requests over the connections of a pool. Its exported fields
@@ -94,6 +96,8 @@
 		versions:       resumer.NewVersionHistory(l.Linger, clock.Now()),
 		longestWaits:   map[model.ServiceID]timekeeper.Millis{},
 		maxSilence:     l.MaxSilence,
+		partOwners:     map[model.ServiceID]*resumer.PartOwners{},
+		cacheLists:     newCacheLists(p, clock),
 	}
 }
 
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -107,6 +107,7 @@
 		p.forwarder.recordWait(p.service, p.callerTimeLeft())
 	}
 	p.suspects = p.findSuspects()
+	p.recordPartOwner()
 	if refusal := p.checkQuarantine(); refusal != nil {
 		return refusal
 	}
--- a/router/internal/forwarder/resume.go
+++ b/router/internal/forwarder/resume.go
@@ -85,8 +85,13 @@
 	}
 	testimonies = append(testimonies, own)
 	software, ok := resumer.Resolve(testimonies, unanswered, p.forwarder.maxSilence)
+	isAtEndpoints := false
+	if !ok && !own.IsKnown {
+		software, isAtEndpoints = p.findAtEndpoints()
+		ok = isAtEndpoints
+	}
 	p.stream.software = software
-	p.logResume(testimonies, unanswered)
+	p.logResume(testimonies, unanswered, isAtEndpoints)
 	if ok {
 		resumesServed.Inc()
 
@@ -99,7 +104,7 @@
 }
 
 // logResume logs what is known of a stream that a caller resumes.
-func (p *proxiedRequest) logResume(testimonies []resumer.Testimony, unanswered int) {
+func (p *proxiedRequest) logResume(testimonies []resumer.Testimony, unanswered int, isAtEndpoints bool) {
 	known, complete := 0, 0
 	for _, t := range testimonies {
 		if t.IsKnown {
@@ -111,7 +116,8 @@
 	}
 	p.forwarder.log.Write(logger.EventStreamOriginFound, append(p.logFields(),
 		logger.String("origin", p.stream.software), logger.Int("known", known), logger.Int("complete", complete),
-		logger.Int("asked", len(testimonies)-1+unanswered), logger.Int("unanswered", unanswered))...)
+		logger.Int("asked", len(testimonies)-1+unanswered), logger.Int("unanswered", unanswered),
+		logger.Bool("at-endpoints", isAtEndpoints))...)
 }
 
 // streamWindow returns the longest time since a stream of a service can have begun that a caller still resumes. The route may be
@@ -213,6 +219,7 @@
 
 // ExpireOrigins forgets streams that cannot be resumed any more, and versions that no such stream can have begun at.
 func (f *Forwarder) ExpireOrigins() {
+	f.cacheLists.expire()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
--- a/standin/internal/responder/responder.go
+++ b/standin/internal/responder/responder.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	headerTokenCounts    = "Cardamompulley-Token-Counts"
 	headerLastEventID    = "Last-Event-Id"
 	headerLimit          = "Server-Limit"
+	headerModel          = "Cardamompulley-Model"
+	headerPromptPrefix   = "Cardamompulley-Prompt-Prefix"
 )
 
 // Faults holds the faults that PUT /standin/faults injects.
@@ -87,6 +90,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /standin/faults", p.handleFaults)
 	mux.HandleFunc("GET /standin/runs", p.handleExecutedRequests)
+	mux.HandleFunc("GET /kv-list", p.handleCacheList)
 	mux.HandleFunc("/", p.handleRequest)
 
 	return mux
@@ -235,3 +239,20 @@
 	defer p.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(map[string]any{"running": p.running, "runs": p.executed})
 }
+
+// handleCacheList lists the prompt parts of all requests that the endpoint has executed.
+func (p *Responder) handleCacheList(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := [][]any{}
+	for _, r := range p.executed {
+		for part := range strings.SplitSeq(r.Header.Get(headerPromptPrefix), ",") {
+			id, tokens, _ := strings.Cut(strings.TrimSpace(part), ":")
+			count, err := strconv.Atoi(tokens)
+			if err == nil {
+				held = append(held, []any{"", id, count, r.Header.Get(headerModel)})
+			}
+		}
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"epoch": 1, "next": len(held), "held": held})
+}
