What a gateway has seen counts as proof only if it is whole and fresh; schedules of resumed streams

Positive proof of their age does not exist: changes bear no time, starts of endpoints are by clocks that may be off. So only a history from the first change on counts, read by one call; for the rest the endpoints are asked, which needs no history. The setting and the search for the oldest change go. Beside gateways that do not answer, a list counts only if the store has answered since the caller came; one call, shared by the callers that wait. Besides, a gateway that the store does not answer tells all its origins, since it cannot know that one version serves alone.

--- a/experimenter/internal/prover/prover.go
+++ b/experimenter/internal/prover/prover.go
@@ -88,6 +88,11 @@
 			Faults: "gateways cut off from each other, restart (not all that remember), two crashing requests or prompt parts, sound requests that share parts",
 			Run:    func(c Chooser) *Violation { return RunCrashSimulation(c, CrashVariant{}) },
 		},
+		{
+			Name:   "resumed streams stay at their version",
+			Faults: "versions come and leave, gateways killed one by one or all at once, cut off from each other or from the store, changes discarded early",
+			Run:    func(c Chooser) *Violation { return RunResumeSimulation(c, ResumeVariant{}) },
+		},
 	}
 }
 
--- /dev/null
+++ b/experimenter/internal/prover/resume_gateway.go
@@ -0,0 +1,191 @@
+package prover
+
+import (
+	"cmp"
+	"slices"
+
+	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/hasher"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/resumer"
+	"cardamompulley/fleet/timekeeper"
+)
+
+// resumeGateway is a gateway process with what it knows of versions and streams.
+type resumeGateway struct {
+	index    int
+	origins  *resumer.OriginTable
+	versions *resumer.VersionHistory
+	// list holds the endpoints that the gateway lists, as of listedAt.
+	list             []*resumeEndpoint
+	listedAt         timekeeper.Millis
+	storeSilentUntil timekeeper.Millis
+	// cutOffUntil is the time until which the gateway reaches no other gateway.
+	cutOffUntil timekeeper.Millis
+	isDead      bool
+}
+
+// startGateway returns a new gateway process that has read the store's list and the changes that it still holds.
+func (s *resumeSimulation) startGateway(index int) *resumeGateway {
+	g := &resumeGateway{
+		index: index, origins: resumer.NewOriginTable(), versions: resumer.NewVersionHistory(resumeLinger, s.now), listedAt: s.now,
+	}
+	s.readList(g)
+	s.readRetained(g)
+
+	return g
+}
+
+// readList lets a gateway list what the store does.
+func (s *resumeSimulation) readList(g *resumeGateway) {
+	g.list = s.listed()
+	g.listedAt = s.now
+	var endpoints []*cataloguer.Endpoint
+	for _, e := range g.list {
+		endpoints = append(endpoints, &e.Endpoint)
+	}
+	if s.variant.ForgetsLeavers {
+		g.versions = resumer.NewVersionHistory(0, s.startedAt)
+	}
+	g.versions.Observe(endpoints, s.now)
+}
+
+// readRetained lets a new gateway learn from the changes that the store still holds, if it holds all that it ever had.
+func (s *resumeSimulation) readRetained(g *resumeGateway) {
+	isWhole := s.discardedAt == 0 && s.now-s.startedAt < resumeRetention
+	if !isWhole && !s.variant.TrustsAnyHistory {
+		return
+	}
+	for _, e := range s.endpoints {
+		isHeld := isWhole || e.leftAt > max(s.discardedAt, s.now-resumeRetention)
+		if !e.isListed() && isHeld && !s.variant.ForgetsLeavers {
+			g.versions.RecordPast(resumeService, e.Software, s.now)
+		}
+	}
+	g.versions.Extend(s.startedAt-timekeeper.Hour, s.now)
+}
+
+// syncGateway lets a gateway follow the store now and then. It learns all changes in between, unless they are gone.
+func (s *resumeSimulation) syncGateway(g *resumeGateway) {
+	if s.now >= g.storeSilentUntil && s.choose.oneIn(4) {
+		s.followStore(g)
+	}
+}
+
+// followStore brings a gateway up to date with the store.
+func (s *resumeSimulation) followStore(g *resumeGateway) {
+	isGap := s.discardedAt > g.listedAt || s.now-g.listedAt > resumeRetention
+	if isGap && s.now-g.listedAt > resumeGap {
+		g.versions.Restart(s.now)
+	}
+	for _, e := range s.endpoints {
+		if !isGap && !e.isListed() && e.leftAt > g.listedAt {
+			g.versions.RecordPast(resumeService, e.Software, s.now)
+		}
+	}
+	s.readList(g)
+	s.tellOrigins(g)
+}
+
+// reaches reports whether a gateway reaches another one.
+func (s *resumeSimulation) reaches(from, to *resumeGateway) bool {
+	return from != to && !from.isDead && !to.isDead && s.now >= from.cutOffUntil && s.now >= to.cutOffUntil
+}
+
+// ranked returns the other gateways that a gateway reaches, in the order of their ranks for a stream, count at most.
+func (s *resumeSimulation) ranked(g *resumeGateway, key resumer.StreamKey, count int) []*resumeGateway {
+	var reached []*resumeGateway
+	for _, other := range s.gateways {
+		if s.reaches(g, other) {
+			reached = append(reached, other)
+		}
+	}
+	score := func(other *resumeGateway) uint64 { return hasher.Mix(uint64(key) ^ hasher.Mix(uint64(other.index))) }
+	slices.SortFunc(reached, func(a, b *resumeGateway) int { return cmp.Compare(score(a), score(b)) })
+
+	return reached[:min(count, len(reached))]
+}
+
+func (s *resumeSimulation) silence(g *resumeGateway) timekeeper.Millis {
+	return s.now - g.listedAt
+}
+
+// tellOrigins lets a gateway tell others the origins that they need to know.
+func (s *resumeSimulation) tellOrigins(g *resumeGateway) {
+	if s.variant.TellsNobody {
+		return
+	}
+	isNeeded := func(id model.ServiceID) bool {
+		return s.silence(g) > resumeMaxSilence || !g.versions.IsSole(id, s.now-resumeWindow)
+	}
+	for _, o := range g.origins.TakeUntold(isNeeded, s.now) {
+		for _, other := range s.ranked(g, o.Key, resumeHolders) {
+			other.origins.Merge(o, s.now)
+		}
+	}
+}
+
+func (s *resumeSimulation) testify(g *resumeGateway, key resumer.StreamKey) resumer.Testimony {
+	t := resumer.Testimony{
+		Seen:       g.versions.Seen(resumeService, s.now-resumeWindow),
+		IsComplete: g.versions.IsComplete(s.now - resumeWindow),
+	}
+	t.Software, t.IsKnown = g.origins.Find(key, s.now)
+
+	return t
+}
+
+// freshTestimony returns what a gateway knows after another look at the store, if the store answers it.
+func (s *resumeSimulation) freshTestimony(g *resumeGateway, key resumer.StreamKey) resumer.Testimony {
+	isFresh := s.now >= g.storeSilentUntil
+	if isFresh && !s.variant.TrustsOldLists {
+		s.followStore(g)
+	}
+	t := s.testify(g, key)
+	t.IsFresh = isFresh || s.variant.TrustsOldLists
+
+	return t
+}
+
+// resolve returns the version at which a gateway lets a stream go on, or false if it refuses the caller.
+func (s *resumeSimulation) resolve(g *resumeGateway, stream *resumedStream) (model.SoftwareVersion, bool) {
+	testimonies := []resumer.Testimony{s.testify(g, stream.key)}
+	unanswered := 0
+	for _, other := range s.gateways {
+		if other != g && !s.reaches(g, other) {
+			unanswered++
+		}
+	}
+	if !s.variant.AsksNobody {
+		for _, other := range s.ranked(g, stream.key, resumeAsked) {
+			testimonies = append(testimonies, s.testify(other, stream.key))
+		}
+	}
+	software, isResolved := resumer.Resolve(testimonies, unanswered)
+	if !isResolved && unanswered > 0 {
+		software, isResolved = resumer.Resolve(append(testimonies, s.freshTestimony(g, stream.key)), unanswered)
+	}
+	switch {
+	case isResolved:
+		return software, true
+	case s.variant.GuessesPresentVersion:
+		return s.onlyListed(g)
+	case s.variant.AsksNoEndpoint:
+		return "", false
+	}
+
+	return stream.software, slices.Contains(g.list, stream.endpoint) && stream.endpoint.isListed()
+}
+
+// onlyListed returns the only version that a gateway lists.
+func (s *resumeSimulation) onlyListed(g *resumeGateway) (model.SoftwareVersion, bool) {
+	listed := map[model.SoftwareVersion]bool{}
+	for _, e := range g.list {
+		listed[e.Software] = true
+	}
+	for software := range listed {
+		return software, len(listed) == 1
+	}
+
+	return "", false
+}
--- /dev/null
+++ b/experimenter/internal/prover/resume_simulation_test.go
@@ -0,0 +1,37 @@
+package prover
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestResumedStreamsUnderFaults(t *testing.T) {
+	requireNoViolation(t, Properties()[6])
+}
+
+func TestResumedStreamsRapid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		if v := RunResumeSimulation(choose, ResumeVariant{}); v != nil {
+			t.Fatal(v)
+		}
+	})
+}
+
+func TestResumeNaiveVariantsBreak(t *testing.T) {
+	cases := map[string]ResumeVariant{
+		"guesses the present version": {GuessesPresentVersion: true},
+		"trusts any history":          {TrustsAnyHistory: true},
+		"forgets leavers":             {ForgetsLeavers: true},
+		"asks nobody":                 {AsksNobody: true},
+		"trusts old lists":            {TrustsOldLists: true},
+		"asks no endpoint":            {AsksNoEndpoint: true},
+		"tells nobody":                {TellsNobody: true},
+	}
+	for name, variant := range cases {
+		t.Run(name, func(t *testing.T) {
+			requireViolation(t, func(c Chooser) *Violation { return RunResumeSimulation(c, variant) })
+		})
+	}
+}
--- a/fleet/replicator/replica.go
+++ b/fleet/replicator/replica.go
@@ -15,8 +15,6 @@
 	// Position is that of the item's last change.
 	Position
 	IsDeleted bool
-	// Created is the revision at which the item was created, zero if it is not known.
-	Created uint64
 }
 
 // Options configure a replica. The zero value never defers deletions and believes all that a restored store holds.
--- a/fleet/resumer/testimony.go
+++ b/fleet/resumer/testimony.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"cardamompulley/fleet/model"
-	"cardamompulley/fleet/timekeeper"
 )
 
 // Testimony is what a gateway knows of a stream that a caller resumes.
@@ -15,15 +14,15 @@
 	Software model.SoftwareVersion
 	// Seen are the versions that the gateway knows to have served since the stream can have begun. An empty one is unknown.
 	Seen []model.SoftwareVersion
-	// IsComplete is true if Seen misses no version up to Silence ago, when the store last answered.
+	// IsComplete is true if Seen misses no version up to the last answer of the store.
 	IsComplete bool
-	Silence    timekeeper.Millis
+	// IsFresh is true if the store has answered since the caller resumes the stream.
+	IsFresh bool
 }
 
 // Resolve returns the version at which a stream has to go on, from what gateways know of it, or false if that cannot be known.
-// unanswered is the number of gateways that were asked in vain; a store that has been silent for longer than maxSilence may hold
-// versions that only they know.
-func Resolve(testimonies []Testimony, unanswered int, maxSilence timekeeper.Millis) (model.SoftwareVersion, bool) {
+// unanswered is the number of gateways that were asked in vain: they may know newer versions than a list that is not fresh.
+func Resolve(testimonies []Testimony, unanswered int) (model.SoftwareVersion, bool) {
 	if software, isKnown := knownOrigin(testimonies); isKnown {
 		return software, software != ""
 	}
@@ -31,13 +30,13 @@
 	if !isSole {
 		return "", false
 	}
+	isFresh, isComplete := unanswered == 0, false
 	for _, t := range testimonies {
-		if t.IsComplete && (t.Silence <= maxSilence || unanswered == 0) {
-			return software, true
-		}
+		isFresh = isFresh || t.IsFresh
+		isComplete = isComplete || t.IsComplete
 	}
 
-	return "", false
+	return software, isFresh && isComplete
 }
 
 // knownOrigin returns the version that began the stream by all testimonies that know it, empty if they differ, or false if none
--- a/fleet/resumer/version_history.go
+++ b/fleet/resumer/version_history.go
@@ -23,8 +23,6 @@
 	// completeSince is the time since which no endpoint can have served without being recorded.
 	completeSince timekeeper.Millis
 	services      map[model.ServiceID]map[model.SoftwareVersion]versionSpan
-	// unknownUntil is the time until which endpoints of an unknown service and version can have begun streams.
-	unknownUntil timekeeper.Millis
 }
 
 // NewVersionHistory returns the history of a process that has seen nothing yet. Endpoints can begin streams for linger after they
@@ -72,19 +70,11 @@
 	}
 }
 
-// RecordUnknown records that an endpoint of an unknown service and version has left.
-func (h *VersionHistory) RecordUnknown(now timekeeper.Millis) {
-	h.unknownUntil = max(h.unknownUntil, now+h.linger)
-}
-
 // Seen returns the versions that can have begun streams of a service since a time, in order. An empty one is unknown.
 func (h *VersionHistory) Seen(service model.ServiceID, since timekeeper.Millis) []model.SoftwareVersion {
 	var seen []model.SoftwareVersion
-	if h.unknownUntil > 0 && h.unknownUntil >= since {
-		seen = append(seen, "")
-	}
 	for software, span := range h.services[service] {
-		if (span.isPresent || span.until >= since) && !slices.Contains(seen, software) {
+		if span.isPresent || span.until >= since {
 			seen = append(seen, software)
 		}
 	}
--- a/fleet/resumer/version_history_test.go
+++ b/fleet/resumer/version_history_test.go
@@ -59,7 +59,6 @@
 		{"before the old changes", func(h *VersionHistory) { h.Extend(30*timekeeper.Second, start) }, 29 * timekeeper.Second, false},
 		{"after a gap", func(h *VersionHistory) { h.Restart(now) }, start, false},
 		{"old changes from before a gap", func(h *VersionHistory) { h.Restart(now); h.Extend(0, start) }, start, false},
-		{"an unknown version has left", func(h *VersionHistory) { h.RecordUnknown(start) }, start, false},
 		{"another version has come and gone between two lists", func(h *VersionHistory) { h.RecordPast("s", "v2", start) }, start, false},
 		{"an unnamed version", func(h *VersionHistory) { h.Observe(listOf(""), now) }, start, false},
 	}
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -42,6 +42,9 @@
 	// AskOrigin asks other gateways what they know of a stream, and returns the number of those that did not answer. Asking ends
 	// with the context.
 	AskOrigin func(context.Context, OriginQuestion) ([]resumer.Testimony, int)
+	// RefreshEndpoints brings the list of endpoints up to date with the store. It returns false if the store does not answer before
+	// the context ends.
+	RefreshEndpoints func(context.Context) bool
 	// TellOrigins makes the gateway tell others the untold origins soon.
 	TellOrigins func()
 	// StoreSilence returns the time since the store last answered this gateway or another one.
@@ -77,27 +80,28 @@
 	crashTracker.FleetSize = func() int { return len(b.Membership.Members()) }
 
 	return &Forwarder{
-		CurrentView:    func() *cataloguer.View { return nil },
-		IsShuttingDown: func() bool { return false },
-		AskOrigin:      noOrigins,
-		TellOrigins:    func() {},
-		StoreSilence:   func() timekeeper.Millis { return 0 },
-		StateReady:     make(chan struct{}),
-		clock:          clock,
-		log:            log,
-		pool:           p,
-		startedAt:      clock.Now(),
-		prefills:       newPrefillTracker(),
-		balancer:       b,
-		retryBudget:    r,
-		crashTracker:   crashTracker,
-		crashChecks:    map[model.EndpointID]*crashCheck{},
-		origins:        resumer.NewOriginTable(),
-		versions:       resumer.NewVersionHistory(l.Linger, clock.Now()),
-		longestWaits:   map[model.ServiceID]timekeeper.Millis{},
-		maxSilence:     l.MaxSilence,
-		partOwners:     map[model.ServiceID]*resumer.PartOwners{},
-		cacheLists:     newCacheLists(p, clock),
+		CurrentView:      func() *cataloguer.View { return nil },
+		IsShuttingDown:   func() bool { return false },
+		AskOrigin:        noOrigins,
+		TellOrigins:      func() {},
+		RefreshEndpoints: func(context.Context) bool { return false },
+		StoreSilence:     func() timekeeper.Millis { return 0 },
+		StateReady:       make(chan struct{}),
+		clock:            clock,
+		log:              log,
+		pool:             p,
+		startedAt:        clock.Now(),
+		prefills:         newPrefillTracker(),
+		balancer:         b,
+		retryBudget:      r,
+		crashTracker:     crashTracker,
+		crashChecks:      map[model.EndpointID]*crashCheck{},
+		origins:          resumer.NewOriginTable(),
+		versions:         resumer.NewVersionHistory(l.Linger, clock.Now()),
+		longestWaits:     map[model.ServiceID]timekeeper.Millis{},
+		maxSilence:       l.MaxSilence,
+		partOwners:       map[model.ServiceID]*resumer.PartOwners{},
+		cacheLists:       newCacheLists(p, clock),
 	}
 }
 
--- a/router/internal/forwarder/resume.go
+++ b/router/internal/forwarder/resume.go
@@ -84,7 +84,11 @@
 		testimonies, unanswered = p.forwarder.AskOrigin(p.ctx, q)
 	}
 	testimonies = append(testimonies, own)
-	software, ok := resumer.Resolve(testimonies, unanswered, p.forwarder.maxSilence)
+	software, ok := resumer.Resolve(testimonies, unanswered)
+	if !ok && unanswered > 0 {
+		testimonies = append(testimonies, p.freshTestimony(q))
+		software, ok = resumer.Resolve(testimonies, unanswered)
+	}
 	isAtEndpoints := false
 	if !ok && !own.IsKnown {
 		software, isAtEndpoints = p.findAtEndpoints()
@@ -103,6 +107,15 @@
 		WithRetryAfter(p.afterDeadline())
 }
 
+// freshTestimony returns what this gateway knows after another look at the store, which shows all versions that any gateway knows.
+func (p *proxiedRequest) freshTestimony(q OriginQuestion) resumer.Testimony {
+	isFresh := p.forwarder.RefreshEndpoints(p.ctx)
+	t := p.forwarder.Testify(q)
+	t.IsFresh = isFresh
+
+	return t
+}
+
 // logResume logs what is known of a stream that a caller resumes.
 func (p *proxiedRequest) logResume(testimonies []resumer.Testimony, unanswered int, isAtEndpoints bool) {
 	known, complete := 0, 0
@@ -142,27 +155,32 @@
 
 // recordBeginning records which software version began a stream and makes the gateway tell others if they cannot know it.
 func (f *Forwarder) recordBeginning(b resumer.Beginning) {
-	window := f.streamWindow(b.Service, nil)
+	isSilent := f.StoreSilence() > f.maxSilence
 	f.mu.Lock()
-	now := f.clock.Now()
-	f.origins.RecordBeginning(b, now)
-	isNeeded := !f.versions.IsSole(b.Service, now-window)
+	f.origins.RecordBeginning(b, f.clock.Now())
+	isNeeded := isSilent || !f.isSole(b.Service)
 	f.mu.Unlock()
 	if isNeeded {
 		f.TellOrigins()
 	}
 }
 
+// isSole reports whether one known version alone can have begun the streams of a service that callers still resume. f.mu must be
+// held.
+func (f *Forwarder) isSole(id model.ServiceID) bool {
+	window := min(max(f.longestWaits[id], minStreamWindow), maxStreamWindow)
+
+	return f.versions.IsSole(id, f.clock.Now()-window)
+}
+
 // Testify returns what this gateway knows of a stream.
 func (f *Forwarder) Testify(q OriginQuestion) resumer.Testimony {
-	silence := f.StoreSilence()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	t := resumer.Testimony{
 		Seen:       f.versions.Seen(q.Service, now-q.Window),
 		IsComplete: f.versions.IsComplete(now - q.Window),
-		Silence:    silence,
 	}
 	if q.Key != 0 {
 		t.Software, t.IsKnown = f.origins.Find(q.Key, now)
@@ -181,15 +199,13 @@
 }
 
 // TakeUntoldOrigins returns the origins that other gateways have to be told: those of services of which several versions, or
-// unknown ones, may have begun streams.
+// unknown ones, may have begun streams; all, if others may know newer versions because the store is silent here.
 func (f *Forwarder) TakeUntoldOrigins() []resumer.Origin {
+	isSilent := f.StoreSilence() > f.maxSilence
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clock.Now()
 
-	return f.origins.TakeUntold(func(id model.ServiceID) bool {
-		return !f.versions.IsSole(id, now-max(f.longestWaits[id], minStreamWindow))
-	}, now)
+	return f.origins.TakeUntold(func(id model.ServiceID) bool { return isSilent || !f.isSole(id) }, f.clock.Now())
 }
 
 // ReturnUntoldOrigins takes back origins that could not be told.
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	decoded       *decodedState
 	// endpointsKnownAt is the latest time at which the list of endpoints was known to be whole.
 	endpointsKnownAt timekeeper.Millis
+	refresh          refreshState
 	startedAt        timekeeper.Millis
 }
 
@@ -97,6 +98,7 @@
 	g.forwarder.StateReady = g.viewReady
 	g.forwarder.StoreSilence = g.storeSilence
 	g.forwarder.AskOrigin = g.peers.askOrigin
+	g.forwarder.RefreshEndpoints = g.refreshEndpoints
 	g.forwarder.TellOrigins = g.peers.originTeller.wake
 	g.forwarder.IsShuttingDown = g.isShuttingDown.Load
 
--- a/router/internal/gateway/origin_exchange.go
+++ b/router/internal/gateway/origin_exchange.go
@@ -169,8 +169,7 @@
 		return resumer.Testimony{}, err
 	}
 	t := resumer.Testimony{
-		IsKnown: r.Known, Software: model.SoftwareVersion(r.Software),
-		IsComplete: r.Complete, Silence: timekeeper.Millis(r.SilenceMs),
+		IsKnown: r.Known, Software: model.SoftwareVersion(r.Software), IsComplete: r.Complete,
 	}
 	for _, software := range r.Seen[:min(len(r.Seen), maxSeenVersions)] {
 		t.Seen = append(t.Seen, model.SoftwareVersion(software))
@@ -185,7 +184,7 @@
 		Key: resumer.StreamKey(r.Key), Service: model.ServiceID(r.Service), Window: timekeeper.Millis(r.WindowMs),
 	})
 	response := &messenger.FindOriginResponse{
-		Known: t.IsKnown, Software: string(t.Software), Complete: t.IsComplete, SilenceMs: int64(t.Silence),
+		Known: t.IsKnown, Software: string(t.Software), Complete: t.IsComplete,
 	}
 	for _, software := range t.Seen[:min(len(t.Seen), maxSeenVersions)] {
 		response.Seen = append(response.Seen, string(software))
@@ -194,7 +193,7 @@
 	return response, nil
 }
 
-// unreachableCount returns the number of gateways that were reachable a short time ago and are not any more.
+// unreachableCount returns the number of known gateways that do not answer.
 func (p *peers) unreachableCount() int {
 	count := 0
 	p.mu.Lock()
--- a/router/internal/gateway/settings.go
+++ b/router/internal/gateway/settings.go
@@ -33,9 +33,7 @@
 	// RecoveryTime is how soon after a fault the process must be up to date again (setting contact-ms).
 	RecoveryTime timekeeper.Millis
 	// DrainTime is how soon a gateway must stop using an endpoint that it knows to leave or to be gone (setting drain-ms).
-	DrainTime timekeeper.Millis
-	// StoreHistory is how long the store keeps its changes, zero if that is not known (setting store-history-ms).
-	StoreHistory  timekeeper.Millis
+	DrainTime     timekeeper.Millis
 	ShutdownGrace timekeeper.Millis
 	RetryWindow   timekeeper.Millis
 	RetryRatio    float64
@@ -110,11 +108,6 @@
 		duration("heartbeat-ms", &s.HeartbeatInterval, "1000", "How often endpoints renew their entries in the store."),
 		duration("contact-ms", &s.RecoveryTime, "3000", "Time after a fault within which this process must be up to date again."),
 		duration("drain-ms", &s.DrainTime, "2000", "Longest use of an endpoint after this process knows that it leaves or is gone."),
-		{
-			Name: "store-history-ms", Target: &s.StoreHistory, Unit: "ms", Default: "0", AllowedValues: "0 to 3600000",
-			Check:   loader.Range(&s.StoreHistory, 0, timekeeper.Hour),
-			Meaning: "How long the store keeps its changes, unless it discards them early; 0 if that is not known.",
-		},
 		duration("shutdown-grace-ms", &s.ShutdownGrace, "10000", "Longest wait for running requests at shutdown."),
 		duration("retry-window-ms", &s.RetryWindow, "10000", "Window over which the retry budget is counted."),
 	}
--- a/router/internal/gateway/software_history.go
+++ b/router/internal/gateway/software_history.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
+	"sync"
 
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/logger"
@@ -16,12 +16,10 @@
 const (
 	// firstEra is the era of a store that has never come back from a copy.
 	firstEra = replicator.Era(1)
-	// firstRevision is the revision from which on a whole history begins.
+	// firstRevision is the revision after which a whole history begins.
 	firstRevision = 1
-	// historyMargin is taken off the time for which the store keeps its changes.
-	historyMargin = timekeeper.Second
-	// historyWait is the wait of a watch call that reads old changes, which are there already.
-	historyWait = timekeeper.Millis(1)
+	// shortestWait is the wait of a watch call for changes that are there already.
+	shortestWait = timekeeper.Millis(1)
 	// historyTries and historyPause are how often the history is read until it is, and the pause in between.
 	historyTries = 5
 	historyPause = timekeeper.Second
@@ -38,6 +36,45 @@
 	return g.clock.Now() - g.endpointsKnownAt
 }
 
+// refreshTimeout bounds a look at the store for which a caller waits.
+const refreshTimeout = 250 * timekeeper.Millis(1)
+
+// refreshState lets callers that wait for the store's newest list share a look at it.
+type refreshState struct {
+	mu        sync.Mutex
+	startedAt timekeeper.Millis
+	succeeded bool
+}
+
+// refreshEndpoints brings both ranges up to date with the store by a call that begins after it was called. It returns false if the
+// store does not answer in time.
+func (g *Gateway) refreshEndpoints(ctx context.Context) bool {
+	calledAt := g.clock.Now()
+	g.refresh.mu.Lock()
+	defer g.refresh.mu.Unlock()
+	if g.refresh.startedAt > calledAt {
+		return g.refresh.succeeded
+	}
+	g.refresh.startedAt = g.clock.Now()
+	g.refresh.succeeded = g.lookAtStore(ctx)
+
+	return g.refresh.succeeded
+}
+
+// lookAtStore applies the changes that the store has now.
+func (g *Gateway) lookAtStore(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout.Duration())
+	defer cancel()
+	ranges := g.storeRanges()
+	events, at, err := g.store.Watch(ctx, g.oldestSynced(ranges), shortestWait)
+	if err != nil {
+		return false
+	}
+	g.applyEvents(ranges, events, at)
+
+	return true
+}
+
 // recordWholeList records that a replica is being replaced by the whole range as it was at a time. If that is long after the last
 // known state of the endpoint list, endpoints may have come and gone in between. g.mu must be held.
 func (g *Gateway) recordWholeList(r *replicator.Replica, era replicator.Era, at timekeeper.Millis) {
@@ -93,110 +130,36 @@
 	g.forwarder.DoubtOrigins(e.ID, since)
 }
 
-// readHistory learns from the changes that the store still holds which software versions have served before this process; items is
-// the endpoint list as it was at a position.
-func (g *Gateway) readHistory(ctx context.Context, items []replicator.Item, at replicator.Position) {
+// readHistory learns from the changes of the store which software versions have served before this process, if the store still holds
+// all changes that it ever had, up to a position. A part of them proves nothing: the store discards changes without saying when they
+// were made.
+func (g *Gateway) readHistory(ctx context.Context, at replicator.Position) {
+	if at.Era > firstEra {
+		return
+	}
 	for range historyTries {
 		readAt := g.clock.Now()
-		oldest, changes, err := g.oldestHistory(ctx, at)
+		changes, _, err := g.store.Watch(ctx, replicator.Position{Era: at.Era, Revision: firstRevision}, shortestWait)
 		if err == nil {
-			g.recordHistory(items, changes, oldest, readAt)
+			g.recordHistory(changes, readAt)
 
 			return
 		}
 		g.log.Write(logger.EventHistoryUnread, logger.Err(err))
-		if errors.Is(err, platform.ErrEraChanged) || !timekeeper.Sleep(ctx, historyPause) {
+		if isHistoryLost(err) || !timekeeper.Sleep(ctx, historyPause) {
 			return
 		}
 	}
 }
 
-// oldestHistory returns the position after which the store holds all changes up to a position, as far back as it does, and these
-// changes.
-func (g *Gateway) oldestHistory(ctx context.Context, at replicator.Position) (replicator.Position, []replicator.Item, error) {
-	changes, err := g.readChanges(ctx, replicator.Position{Era: at.Era, Revision: firstRevision})
-	if err == nil {
-		return replicator.Position{Era: at.Era, Revision: firstRevision}, changes, nil
-	}
-	gone, oldest := uint64(firstRevision), at
-	for gone+1 < oldest.Revision && errors.Is(err, platform.ErrCompacted) {
-		middle := replicator.Position{Era: at.Era, Revision: gone + (oldest.Revision-gone)/2}
-		var found []replicator.Item
-		found, err = g.readChanges(ctx, middle)
-		switch {
-		case err == nil:
-			oldest, changes = middle, found
-			err = platform.ErrCompacted
-		case errors.Is(err, platform.ErrCompacted):
-			gone = middle.Revision
-		}
-	}
-	if !errors.Is(err, platform.ErrCompacted) {
-		return replicator.Position{}, nil, err
-	}
-
-	return oldest, changes, nil
-}
-
-// readChanges returns the changes after a position that the store holds.
-func (g *Gateway) readChanges(ctx context.Context, after replicator.Position) ([]replicator.Item, error) {
-	changes, _, err := g.store.Watch(ctx, after, historyWait)
-
-	return changes, err
-}
-
-// recordHistory records the software versions in old changes, and since when none is missing.
-func (g *Gateway) recordHistory(items, changes []replicator.Item, oldest replicator.Position, readAt timekeeper.Millis) {
-	known := map[string]bool{}
-	for _, item := range items {
-		known[item.Key] = true
-	}
-	isUnknown := false
-	for _, item := range changes {
-		known[item.Key] = known[item.Key] || !item.IsDeleted
-		isUnknown = isUnknown || strings.HasPrefix(item.Key, platform.RangeEndpoints) && !known[item.Key]
-	}
-	since := g.historySince(items, oldest, readAt)
-	g.log.Write(logger.EventHistoryRead, logger.Int("revision", oldest.Revision), logger.Int("changes", len(changes)),
-		logger.Int("covered-ms", readAt-since), logger.Bool("unknown-version", isUnknown))
+// recordHistory records the software versions in all changes that the store ever had.
+func (g *Gateway) recordHistory(changes []replicator.Item, readAt timekeeper.Millis) {
+	g.log.Write(logger.EventHistoryRead, logger.Int("changes", len(changes)))
 	endpoints := decodeChanges(changes)
 	g.forwarder.UpdateVersions(func(h *resumer.VersionHistory) {
-		h.Extend(since, readAt)
+		h.Extend(0, readAt)
 		for _, e := range endpoints {
 			h.RecordPast(e.Service, e.Software, readAt)
 		}
-		if isUnknown {
-			h.RecordUnknown(readAt)
-		}
 	})
 }
-
-// historySince returns the time since which the store's changes are all known, if they are known after a position.
-func (g *Gateway) historySince(items []replicator.Item, oldest replicator.Position, readAt timekeeper.Millis) timekeeper.Millis {
-	if oldest.Revision <= firstRevision {
-		return 0
-	}
-	if oldest.Era > firstEra || g.settings.StoreHistory <= historyMargin || g.isDiscardedEarly(items, oldest) {
-		return readAt
-	}
-
-	return readAt - g.settings.StoreHistory + historyMargin
-}
-
-// isDiscardedEarly reports whether an endpoint has started so recently that the store would still hold the creation of its entry if
-// it had not discarded changes early. Without the start of an endpoint that cannot be excluded.
-func (g *Gateway) isDiscardedEarly(items []replicator.Item, oldest replicator.Position) bool {
-	kept := g.clock.Wall() - g.settings.StoreHistory
-	for _, item := range items {
-		created := item.Created
-		if created == 0 {
-			created = item.Revision
-		}
-		e, err := platform.DecodeEndpoint(endpointID(item.Key), item.Value)
-		if err == nil && created <= oldest.Revision && (e.StartedAt == 0 || e.StartedAt > kept) {
-			return true
-		}
-	}
-
-	return false
-}
--- a/router/internal/gateway/store_sync.go
+++ b/router/internal/gateway/store_sync.go
@@ -50,9 +50,9 @@
 // that a single watch call covers both ranges, because calls to the store are billed. If the store does not have the history
 // that the watch needs, the ranges are read again. Failures are retried with backoff.
 func (g *Gateway) followStore(ctx context.Context) {
-	ranges := []*storeRange{
-		{prefix: platform.RangeOperator, replica: g.operatorReplica, needsRead: true},
-		{prefix: platform.RangeEndpoints, replica: g.endpointReplica, needsRead: true},
+	ranges := g.storeRanges()
+	for _, r := range ranges {
+		r.needsRead = true
 	}
 	backoff := initialBackoff
 	rereadPause := g.rereadSpread()
@@ -78,6 +78,28 @@
 	}
 }
 
+// storeRanges returns the ranges of the store that the gateway follows.
+func (g *Gateway) storeRanges() []*storeRange {
+	return []*storeRange{
+		{prefix: platform.RangeOperator, replica: g.operatorReplica},
+		{prefix: platform.RangeEndpoints, replica: g.endpointReplica},
+	}
+}
+
+// oldestSynced returns the position up to which all ranges have been followed.
+func (g *Gateway) oldestSynced(ranges []*storeRange) replicator.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	oldest := ranges[0].replica.Synced()
+	for _, r := range ranges {
+		if synced := r.replica.Synced(); synced.Compare(oldest) < 0 {
+			oldest = synced
+		}
+	}
+
+	return oldest
+}
+
 // isHistoryLost reports whether the store has answered that changes alone cannot bring the replicas up to date.
 func isHistoryLost(err error) bool {
 	return errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrEraChanged)
@@ -147,7 +169,7 @@
 		return r.replica.Replace(items, at, now, now)
 	})
 	if isFirst && r.replica == g.endpointReplica {
-		go g.readHistory(ctx, items, at)
+		go g.readHistory(ctx, at)
 	}
 
 	return nil
@@ -162,15 +184,8 @@
 
 // watchStore waits for changes after the newest position that all replicas have reached, and applies them.
 func (g *Gateway) watchStore(ctx context.Context, ranges []*storeRange) error {
-	g.mu.Lock()
-	after := ranges[0].replica.Synced()
-	for _, r := range ranges {
-		if synced := r.replica.Synced(); synced.Compare(after) < 0 {
-			after = synced
-		}
-	}
+	after := g.oldestSynced(ranges)
 	wait := g.watchWait(ranges)
-	g.mu.Unlock()
 	events, at, err := g.store.Watch(ctx, after, wait)
 	if err != nil {
 		return err
@@ -185,8 +200,10 @@
 	return nil
 }
 
-// watchWait returns how long a watch call waits for changes. The lock must be held.
+// watchWait returns how long a watch call waits for changes.
 func (g *Gateway) watchWait(ranges []*storeRange) timekeeper.Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	wait := timekeeper.Millis(watchWaitFraction * float64(g.settings.RecoveryTime))
 	for _, r := range ranges {
 		if next := r.replica.NextDue(); next > 0 {
