--- a/router/internal/gateway/handlers.go
+++ b/router/internal/gateway/handlers.go
@@ -29,13 +29,16 @@
 	})
 }
 
-// gauges returns the era and revision of the store and the number of endpoints that advertise a limit.
+// gauges returns the era and revision of the store, the number of endpoints that advertise a limit, and those of streams whose origins
+// are remembered or were forgotten early.
 func (g *Gateway) gauges() string {
 	limited := 0
 	g.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) { limited = b.Limits.Count() })
+	origins, evicted := g.forwarder.OriginCounts()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	return fmt.Sprintf("gateway_store_era %d\ngateway_store_revision %d\ngateway_limited_endpoints %d\n",
-		g.storePosition.Era, g.storePosition.Revision, limited)
+	return fmt.Sprintf("gateway_store_era %d\ngateway_store_revision %d\ngateway_limited_endpoints %d\n"+
+		"gateway_stream_origins %d\ngateway_stream_origins_evicted_total %d\n",
+		g.storePosition.Era, g.storePosition.Revision, limited, origins, evicted)
 }
