--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -70,6 +70,7 @@
 		return p.failAfterSend(conn, errResponseMismatch)
 	}
 	p.advertisedLimit = metadata.Limit
+	p.endpointLeaves, p.endpointRest = metadata.IsLeaving, metadata.Rest
 	p.forwarder.recordLimit(endpoint, metadata, sentAt)
 	if metadata.IsMisdirected {
 		// Another process has taken the endpoint's address, so the endpoint has ended.
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -45,6 +45,9 @@
 	if p.advertisedLimit > 0 {
 		fields = append(fields, limitField(p.advertisedLimit))
 	}
+	if p.endpointLeaves || p.endpointRest > 0 {
+		fields = append(fields, logger.Bool("leaving", p.endpointLeaves), logger.Int("rest-ms", p.endpointRest))
+	}
 	if n := len(p.metadata.Prompt); n > 0 {
 		fields = append(fields,
 			logger.Hex("session", p.metadata.SessionID()),
