--- a/experimenter/internal/launcher/gateway_fleet.go
+++ b/experimenter/internal/launcher/gateway_fleet.go
@@ -137,6 +137,15 @@
 	return f.PutItem(imitator.KeyEndpoint(id), e.Entry())
 }
 
+// RestartEntry writes the entry of an endpoint as a new process writes it that starts under the same ID and address.
+func (f *GatewayFleet) RestartEntry(id model.EndpointID) error {
+	e := f.entries[id]
+	e.StartedAt = timekeeper.Millis(time.Now().UnixMilli())
+	f.entries[id] = e
+
+	return f.PutItem(imitator.KeyEndpoint(id), e.Entry())
+}
+
 // KillGateways kills all gateways at once and forgets them, so that StartGateway starts the first one again.
 func (f *GatewayFleet) KillGateways() {
 	for _, g := range f.Gateways {
@@ -254,22 +263,43 @@
 	ArrivedAt int64 `json:"arrived-ms"`
 }
 
-// ExecutedRequests returns the requests that an endpoint has executed or is executing, and how many are still running.
-func (f *GatewayFleet) ExecutedRequests(id model.EndpointID) ([]ExecutedRequest, int, error) {
+// endpointRecord is what the stand-in of an endpoint has recorded.
+type endpointRecord struct {
+	Running    int               `json:"running"`
+	Runs       []ExecutedRequest `json:"runs"`
+	Rejections []int64           `json:"rejections-ms"`
+}
+
+func (f *GatewayFleet) fetchRecord(id model.EndpointID) (endpointRecord, error) {
+	var record endpointRecord
 	response, err := http.Get("http://" + f.Endpoints[id].Address("standin") + "/standin/runs")
 	if err != nil {
-		return nil, 0, fmt.Errorf("launcher: fetch executed requests of %s: %w", id, err)
+		return record, fmt.Errorf("launcher: fetch executed requests of %s: %w", id, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	var result struct {
-		Running int               `json:"running"`
-		Runs    []ExecutedRequest `json:"runs"`
+	if err := json.NewDecoder(response.Body).Decode(&record); err != nil {
+		return record, fmt.Errorf("launcher: decode executed requests of %s: %w", id, err)
 	}
-	if err := json.NewDecoder(response.Body).Decode(&result); err != nil {
-		return nil, 0, fmt.Errorf("launcher: decode executed requests of %s: %w", id, err)
+
+	return record, nil
+}
+
+// ExecutedRequests returns the requests that an endpoint has executed or is executing, and how many are still running.
+func (f *GatewayFleet) ExecutedRequests(id model.EndpointID) ([]ExecutedRequest, int, error) {
+	record, err := f.fetchRecord(id)
+
+	return record.Runs, record.Running, err
+}
+
+// Rejections returns the times at which an endpoint has rejected requests.
+func (f *GatewayFleet) Rejections(id model.EndpointID) ([]time.Time, error) {
+	record, err := f.fetchRecord(id)
+	times := make([]time.Time, 0, len(record.Rejections))
+	for _, at := range record.Rejections {
+		times = append(times, time.UnixMilli(at))
 	}
 
-	return result.Runs, result.Running, nil
+	return times, err
 }
 
 // ExecutionCount returns how often an attempt was executed, summed over all endpoints.
--- /dev/null
+++ b/experimenter/internal/launcher/gateway_notice_test.go
@@ -0,0 +1,167 @@
+package launcher_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"cardamompulley/experimenter/internal/launcher"
+	"cardamompulley/fleet/model"
+)
+
+const (
+	// leaveTime is how long after an answer that says so a gateway may use an endpoint that leaves (the default of drain-ms).
+	leaveTime = 2 * time.Second
+	// restDelay is how long after a rest was asked for requests still may arrive, and lateInRest how many may arrive after that
+	// from each gateway.
+	restDelay  = 500 * time.Millisecond
+	lateInRest = 2
+)
+
+// Guards against a gateway that goes on sending requests to an endpoint that has said that it leaves, whatever the store says.
+func TestGatewaysStopUsingEndpointThatSaysItLeaves(t *testing.T) {
+	const perSecond, duration = 40, 6 * time.Second
+	cases := []struct {
+		name     string
+		gateways int
+		faults   string
+		newCall  func(*launcher.Process) *gatewayCall
+		leaver   string
+	}{
+		{"plain requests", 1, `{"leaving": true}`, newLookup, "plain-1"},
+		{"plain requests at three gateways", 3, `{"leaving": true}`, newLookup, "plain-1"},
+		{"failures", 1, `{"leaving": true, "status": 500}`, newLookup, "plain-1"},
+		{"streams", 2, `{"leaving": true}`, newSessionCall, "engine-1"},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways, s.Engines = x.gateways, 3 })
+			waitForRetryBudget()
+			id := model.EndpointID(x.leaver)
+			from := time.Now()
+			must(t, f.SetEndpointFaults(id, x.faults))
+			ctx, cancel := context.WithTimeout(t.Context(), duration)
+			defer cancel()
+			served, refused := sendSteadily(ctx, f, perSecond, x.newCall)
+			late := arrivalsAfter(t, f, id, from.Add(leaveTime+time.Second))
+			if len(late) > 0 {
+				t.Errorf("%d requests reached the leaver later than %v after its first answers", len(late), leaveTime)
+			}
+			if refused > 0 || served == 0 {
+				t.Errorf("%d requests were served, %d refused", served, refused)
+			}
+			must(t, f.SetEndpointFaults(id, `{}`))
+			must(t, f.RestartEntry(id))
+			waitFor(t, "the endpoint that has started again gets requests", 10*time.Second, func() bool {
+				before := len(arrivalsAfter(t, f, id, from))
+				for range 20 {
+					x.newCall(f.Gateways[0]).send(t.Context())
+				}
+
+				return len(arrivalsAfter(t, f, id, from)) > before
+			})
+		})
+	}
+}
+
+// Guards against a gateway that sends requests to an endpoint that has asked it for a rest.
+func TestGatewaysLetEndpointsRest(t *testing.T) {
+	const perSecond, duration, rest = 60, 8 * time.Second, 3 * time.Second
+	for _, gateways := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d gateways", gateways), func(t *testing.T) {
+			t.Parallel()
+			f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways = gateways })
+			waitForRetryBudget()
+			must(t, f.SetEndpointFaults("plain-1", `{"full": true, "rest": 3}`))
+			ctx, cancel := context.WithTimeout(t.Context(), duration)
+			defer cancel()
+			served, refused := sendSteadily(ctx, f, perSecond, newLookup)
+			rejections, err := f.Rejections("plain-1")
+			must(t, err)
+			if late := mostInRest(rejections, rest); late > lateInRest*gateways || len(rejections) == 0 {
+				t.Errorf("%d of %d requests arrived in a rest, want %d at most", late, len(rejections), lateInRest*gateways)
+			}
+			if refused > 0 || served == 0 {
+				t.Errorf("%d requests were served, %d refused", served, refused)
+			}
+			must(t, f.SetEndpointFaults("plain-1", `{}`))
+			from := time.Now()
+			waitFor(t, "the endpoint that has rested gets requests", 2*rest, func() bool {
+				newLookup(f.Gateways[0]).send(t.Context())
+
+				return len(arrivalsAfter(t, f, "plain-1", from)) > 0
+			})
+		})
+	}
+}
+
+// mostInRest returns the largest number of arrivals between restDelay after one of them and the end of the rest that it asked for.
+func mostInRest(arrivals []time.Time, rest time.Duration) int {
+	most := 0
+	for _, asked := range arrivals {
+		count := 0
+		for _, at := range arrivals {
+			if at.After(asked.Add(restDelay)) && at.Before(asked.Add(rest)) {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+
+	return most
+}
+
+// Guards against callers that are all told to come back at the same moment, or before the rest is over, or that are made to wait.
+func TestCallersComeBackInTurnWhenAllEndpointsRest(t *testing.T) {
+	const callers, rest = 40, 2 * time.Second
+	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways = 1 })
+	waitForRetryBudget()
+	for _, id := range []string{"plain-1", "plain-2"} {
+		must(t, f.SetEndpointFaults(model.EndpointID(id), `{"full": true, "rest": 2}`))
+	}
+	newLookup(f.Gateways[0]).send(t.Context())
+	newLookup(f.Gateways[0]).send(t.Context())
+	asked := time.Now()
+	var mu sync.Mutex
+	var returns []time.Time
+	var w sync.WaitGroup
+	for range callers {
+		w.Go(func() {
+			sentAt := time.Now()
+			r := newLookup(f.Gateways[0]).send(t.Context())
+			seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || r.status != http.StatusServiceUnavailable {
+				t.Errorf("status %d, Retry-After %q", r.status, r.header.Get("Retry-After"))
+
+				return
+			}
+			if waited := time.Since(sentAt); waited > restDelay {
+				t.Errorf("a caller that cannot be served was kept for %v", waited)
+			}
+			returns = append(returns, time.Now().Add(time.Duration(seconds*float64(time.Second))))
+		})
+	}
+	w.Wait()
+	distinct := map[int64]bool{}
+	for _, at := range returns {
+		if at.Before(asked.Add(rest - restDelay)) {
+			t.Errorf("a caller comes back %v after the rest was asked for", at.Sub(asked))
+		}
+		distinct[at.UnixMilli()/10] = true
+	}
+	if len(distinct) < callers/4 {
+		t.Errorf("%d callers come back in %d moments", len(returns), len(distinct))
+	}
+	rejections, err := f.Rejections("plain-1")
+	must(t, err)
+	if late := mostInRest(rejections, rest); late > lateInRest {
+		t.Errorf("%d requests arrived in a rest", late)
+	}
+}
--- a/standin/internal/responder/responder.go
+++ b/standin/internal/responder/responder.go
@@ -23,6 +23,8 @@
 	headerTokenCounts    = "Cardamompulley-Token-Counts"
 	headerLastEventID    = "Last-Event-Id"
 	headerLimit          = "Server-Limit"
+	headerLeaving        = "Server-Leaving"
+	headerRetryAfter     = "Retry-After"
 	headerModel          = "Cardamompulley-Model"
 	headerPromptPrefix   = "Cardamompulley-Prompt-Prefix"
 )
@@ -51,6 +53,10 @@
 	HoldRequests bool `json:"hold"`
 	// Limit is the number of requests a second that the endpoint asks for in its answers. If 0, it advertises none.
 	Limit float64 `json:"limit"`
+	// Leaving says in all answers that the endpoint is about to end.
+	Leaving bool `json:"leaving"`
+	// Rest is the number of seconds for which a request that is rejected asks the gateway to send nothing. If 0, it asks for none.
+	Rest float64 `json:"rest"`
 }
 
 // ExecutedRequest is a request that the endpoint has executed or is executing.
@@ -75,7 +81,9 @@
 	mu       sync.Mutex
 	faults   Faults
 	executed []ExecutedRequest
-	running  int
+	// rejections holds the Unix times in milliseconds at which requests were rejected.
+	rejections []int64
+	running    int
 }
 
 // NewResponder returns an endpoint that signs its responses as id. Its streams have eventsPerStream events, eventInterval
@@ -105,14 +113,16 @@
 	if f.Limit > 0 {
 		w.Header().Set(headerLimit, strconv.FormatFloat(f.Limit, 'f', -1, 64))
 	}
+	if f.Leaving {
+		w.Header().Set(headerLeaving, "1")
+	}
 	if target := r.Header.Get(headerTargetInstance); target != "" && target != p.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 
 		return
 	}
 	if f.RejectRequests {
-		w.Header().Set(headerNotExecuted, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		p.reject(w, f)
 
 		return
 	}
@@ -126,6 +136,18 @@
 	})
 }
 
+// reject turns a request away, with the rest that the faults ask for.
+func (p *Responder) reject(w http.ResponseWriter, f Faults) {
+	p.mu.Lock()
+	p.rejections = append(p.rejections, time.Now().UnixMilli())
+	p.mu.Unlock()
+	w.Header().Set(headerNotExecuted, "1")
+	if f.Rest > 0 {
+		w.Header().Set(headerRetryAfter, strconv.FormatFloat(f.Rest, 'f', -1, 64))
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 func (p *Responder) execute(w http.ResponseWriter, r *http.Request, f Faults, record ExecutedRequest) {
 	p.mu.Lock()
 	p.executed = append(p.executed, record)
@@ -237,7 +259,7 @@
 func (p *Responder) handleExecutedRequests(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{"running": p.running, "runs": p.executed})
+	_ = json.NewEncoder(w).Encode(map[string]any{"running": p.running, "runs": p.executed, "rejections-ms": p.rejections})
 }
 
 // handleCacheList lists the prompt parts of all requests that the endpoint has executed.
