Callers that are refused while all endpoints rest come back in turn

What callers saw: while all endpoints rested, callers were told to come back after 0.3 or 0.5 s, before the rest was over and all at once. Cause: a refusal knew the shortest rest left, and nothing of the others that were refused. Change: a caller comes back after the rest, the later the later it was refused, spread over the rest's length, 2 s at most, with 0.3 s of jitter for those refused at the same moment. It needs no state but the rest's own. Tried and dropped: a schedule of returns at the rate of the traffic, for limits too.

--- a/fleet/balancer/obstacle.go
+++ b/fleet/balancer/obstacle.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -47,6 +48,8 @@
 	// gateway, to which the caller may come, can have a larger share.
 	minLimitRetryAfter = 50 * timekeeper.Millis(1)
 	maxLimitRetryAfter = 2 * timekeeper.Second
+	// restJitter keeps callers apart that are refused at the same moment of a rest.
+	restJitter = 300 * timekeeper.Millis(1)
 )
 
 // obstacleCheck is what a check of the endpoints of a service for one request has in common.
@@ -78,8 +81,8 @@
 	case s.running >= k.maxRunning:
 		return ObstacleConnections, 0
 	}
-	if rest := b.Notices.RestLeft(e.Process(), k.now); rest > 0 {
-		return ObstacleResting, rest
+	if b.Notices.RestLeft(e.Process(), k.now) > 0 {
+		return ObstacleResting, b.Notices.ReturnAfter(e.Process(), k.now)
 	}
 	if wait := b.Limits.Wait(e.Process(), k.sharers, k.now); wait > 0 {
 		return ObstacleLimit, wait
@@ -100,7 +103,8 @@
 // obstacleCount counts the endpoints of a service by what keeps them from taking a request.
 type obstacleCount struct {
 	endpoints map[Obstacle]int
-	// limitWait is the shortest time until an endpoint with ObstacleLimit takes a request, restWait one with ObstacleResting.
+	// limitWait is the shortest time until an endpoint with ObstacleLimit takes a request, restWait the one after which a caller should
+	// come back to one with ObstacleResting.
 	limitWait timekeeper.Millis
 	restWait  timekeeper.Millis
 }
@@ -167,7 +171,7 @@
 		return o.retryAfterAwake()
 	}
 	if o.areAll(ObstacleResting, ObstacleDraining, ObstacleLeaving, ObstacleSoftware, ObstacleTried) {
-		return o.restWait
+		return o.restWait + rand.N(restJitter)
 	}
 
 	return min(o.restWait, o.retryAfterAwake())
--- a/fleet/budgeter/endpoint_notice.go
+++ b/fleet/budgeter/endpoint_notice.go
@@ -10,6 +10,8 @@
 const (
 	// noticeLifetime is how long it is remembered that an endpoint leaves, after it was listed last: a list may lack it for a while.
 	noticeLifetime = 10 * timekeeper.Minute
+	// maxReturnSpread bounds the time over which callers come back after a rest.
+	maxReturnSpread = 2 * timekeeper.Second
 	// maxNotices limits the endpoints whose notices are remembered, at about 100 bytes each.
 	maxNotices = 20_000
 )
@@ -18,7 +20,8 @@
 type endpointNotice struct {
 	// leavingSince is when the endpoint first said that it leaves, zero if it has not.
 	leavingSince timekeeper.Millis
-	// restUntil is the end of the latest rest that it has asked for.
+	// restFrom and restUntil are the beginning and the end of the latest rest that it has asked for.
+	restFrom  timekeeper.Millis
 	restUntil timekeeper.Millis
 	// listedAt is when the run was listed last.
 	listedAt timekeeper.Millis
@@ -55,6 +58,9 @@
 		return false
 	}
 	isNew := notice.restUntil <= now
+	if isNew {
+		notice.restFrom = now
+	}
 	notice.restUntil = max(notice.restUntil, now+rest)
 	n.byProcess[p] = notice
 
@@ -94,6 +100,18 @@
 	return max(n.byProcess[p].restUntil-now, 0)
 }
 
+// ReturnAfter returns after how long a caller should come back that is refused because an endpoint rests. Callers come back in the order
+// in which they were refused, spread over up to maxReturnSpread after the end of the rest.
+func (n *EndpointNotices) ReturnAfter(p model.EndpointProcess, now timekeeper.Millis) timekeeper.Millis {
+	notice := n.byProcess[p]
+	rest := notice.restUntil - notice.restFrom
+	if notice.restUntil <= now || rest <= 0 {
+		return 0
+	}
+
+	return notice.restUntil - now + (now-notice.restFrom)*min(rest, maxReturnSpread)/rest
+}
+
 // Counts returns the numbers of endpoints that leave and that rest.
 func (n *EndpointNotices) Counts(now timekeeper.Millis) (leaving, resting int) {
 	for _, notice := range n.byProcess {
--- a/fleet/budgeter/endpoint_notice_test.go
+++ b/fleet/budgeter/endpoint_notice_test.go
@@ -60,6 +60,26 @@
 	}
 }
 
+func TestCallersComeBackInOrderAfterRest(t *testing.T) {
+	const now = timekeeper.Hour
+	p := model.EndpointProcess{ID: "e"}
+	for _, rest := range []timekeeper.Millis{200, 3000, 60_000} {
+		n := NewEndpointNotices()
+		n.RecordRest(p, rest, now)
+		last := timekeeper.Millis(0)
+		for at := now; at < now+rest; at += rest / 20 {
+			back := at + n.ReturnAfter(p, at)
+			if back < now+rest || back > now+rest+maxReturnSpread || back <= last {
+				t.Errorf("rest of %d ms: refused after %d, back after %d, the one before after %d", rest, at-now, back-now, last-now)
+			}
+			last = back
+		}
+		if n.ReturnAfter(p, now+rest) != 0 {
+			t.Errorf("rest of %d ms: a caller is kept away after its end", rest)
+		}
+	}
+}
+
 // Guards against notices that grow with what endpoints send.
 func TestNoticesAreBounded(t *testing.T) {
 	n := NewEndpointNotices()
