An endpoint that leaves is the last resort only if nothing else keeps it from a request; schedules of notices

Cause: that an endpoint leaves was looked for before its limit and its cold start, and the last resort takes endpoints whose only obstacle is that; the others were never looked at. Change: leaving is looked for last. Schedules of gateways (make prove) let endpoints say that they leave, whatever the store says, and turn requests away with rests; two naive variants (ignores that endpoints leave, ignores that they rest) turn red.

--- a/experimenter/internal/prover/gateway_process.go
+++ b/experimenter/internal/prover/gateway_process.go
@@ -66,7 +66,7 @@
 	}
 	name := gatewayName(n)
 
-	return &gatewayProcess{
+	g := &gatewayProcess{
 		number: n,
 		name:   name,
 		balancer: balancer.NewBalancer(
@@ -83,6 +83,9 @@
 		inSyncSince:     s.now,
 		disturbedAt:     s.now,
 	}
+	g.balancer.LeaveGrace = leaveGrace
+
+	return g
 }
 
 func (s *gatewaySimulation) endpointOptions() replicator.Options {
--- a/experimenter/internal/prover/gateway_request.go
+++ b/experimenter/internal/prover/gateway_request.go
@@ -55,7 +55,7 @@
 	s.checkChoice(r, choice.Endpoint)
 	g.balancer.RecordStart(id, s.now)
 	g.running[id]++
-	failure, isServed := s.randomOutcome()
+	failure, isServed := s.outcomeAt(id)
 	s.recordArrival(r, id, failure)
 	duration := timekeeper.Millis(0)
 	if isServed {
@@ -97,6 +97,7 @@
 		s.traffic[r.service].retries = append(s.traffic[r.service].retries, s.now)
 	}
 	s.recordLimitedArrival(r.gateway, id)
+	s.recordNotices(r.gateway, id)
 	state := s.endpoints[id]
 	if state.coldUntil > s.now {
 		state.coldArrivals = append(state.coldArrivals, s.now)
@@ -153,7 +154,7 @@
 	maxConnections := s.configuration.Services[r.service].MaxConnections
 	for _, e := range g.view.Endpoints(r.service) {
 		hasCapacity := maxConnections == 0 || g.running[e.ID] < max(maxConnections/len(g.balancer.Membership.Members()), 1)
-		hasCapacity = hasCapacity && s.hasQuota(g, e) && !isFull(e)
+		hasCapacity = hasCapacity && s.hasQuota(g, e) && !isFull(e) && !s.isWithdrawn(g, e)
 		if g.view.CanTakeWork(e) && hasCapacity && e.ColdUntil <= s.now && !slices.Contains(r.tried, e.ID) {
 			s.recordViolation("no refusal while an endpoint has capacity",
 				"%s refused a request although %s has capacity", g.name, e.ID)
--- a/experimenter/internal/prover/gateway_simulation.go
+++ b/experimenter/internal/prover/gateway_simulation.go
@@ -26,6 +26,9 @@
 	TakesCopiesAsFresh bool
 	// IgnoresLimits sends requests to endpoints that advertise a limit as to others.
 	IgnoresLimits bool
+	// IgnoresLeaving uses endpoints that say that they leave like others, IgnoresRests those that ask for a rest.
+	IgnoresLeaving bool
+	IgnoresRests   bool
 	// IgnoresEras orders what the store says by revision alone.
 	IgnoresEras bool
 	// DropsMissingAtOnce drops what a restored store lacks without giving its owners time to write it again.
@@ -103,7 +106,8 @@
 	removedAt timekeeper.Millis
 	coldUntil timekeeper.Millis
 	// limit is what the endpoint advertises in its answers, nil if it advertises none.
-	limit *endpointLimit
+	limit  *endpointLimit
+	notice noticeState
 	// coldArrivals are the times of the requests that reached the endpoint while it was cold.
 	coldArrivals []timekeeper.Millis
 }
@@ -203,7 +207,7 @@
 	id := model.EndpointID(fmt.Sprintf("endpoint-%d", len(s.endpointIDs)))
 	domain := domainID(s.choose(s.deployment.domainCount))
 	s.endpointIDs = append(s.endpointIDs, id)
-	s.endpoints[id] = &endpointState{service: service, domain: domain, coldUntil: s.now + coldDuration}
+	s.endpoints[id] = &endpointState{service: service, domain: domain, coldUntil: s.now + coldDuration, notice: newNoticeState()}
 	s.writeEntry(id)
 }
 
@@ -218,7 +222,7 @@
 }
 
 // changeDeployment adds or removes an endpoint, takes a failure domain out of service or back in, starts a store outage, lets the
-// store keep a copy or come back from it, or lets an endpoint advertise a limit or none.
+// store keep a copy or come back from it, or lets an endpoint advertise a limit or none, say that it leaves, or ask for rests.
 func (s *gatewaySimulation) changeDeployment() {
 	c := s.choose
 	switch c(60) {
@@ -236,6 +240,8 @@
 		s.startRestore()
 	case 6:
 		s.changeLimit(s.endpointIDs[c(len(s.endpointIDs))])
+	case 7:
+		s.changeNotice(s.endpointIDs[c(len(s.endpointIDs))])
 	}
 }
 
--- a/experimenter/internal/prover/gateway_simulation_test.go
+++ b/experimenter/internal/prover/gateway_simulation_test.go
@@ -28,6 +28,8 @@
 		"accepts stale copies of ranges":     {AcceptsStaleCopies: true},
 		"takes old copies for fresh ones":    {TakesCopiesAsFresh: true},
 		"ignores limits of endpoints":        {IgnoresLimits: true},
+		"ignores that endpoints leave":       {IgnoresLeaving: true},
+		"ignores that endpoints rest":        {IgnoresRests: true},
 		"ignores eras of the store":          {IgnoresEras: true},
 		"drops what a copy lacks at once":    {DropsMissingAtOnce: true},
 		"trusts what a copy brings back":     {TrustsRestoredEntries: true},
--- a/fleet/balancer/obstacle.go
+++ b/fleet/balancer/obstacle.go
@@ -26,8 +26,6 @@
 	ObstacleTried Obstacle = "tried"
 	// ObstacleSoftware means that the endpoint runs another software version than the request is for.
 	ObstacleSoftware Obstacle = "software"
-	// ObstacleLeaving means that the endpoint has said itself that it leaves.
-	ObstacleLeaving Obstacle = "leaving"
 	// ObstacleResting means that the endpoint has asked this gateway for a rest that is not over.
 	ObstacleResting Obstacle = "resting"
 	// ObstacleConnections means that the gateway uses its share of the endpoint's connections.
@@ -36,6 +34,8 @@
 	ObstacleLimit Obstacle = "limit"
 	// ObstacleCold means that the gateway has used its share of the requests that a cold endpoint takes.
 	ObstacleCold Obstacle = "cold"
+	// ObstacleLeaving means that the endpoint has said itself that it leaves.
+	ObstacleLeaving Obstacle = "leaving"
 	// ObstacleFull means that all slots of the endpoint are in use while others cannot take requests because of their limits.
 	ObstacleFull Obstacle = "full"
 )
@@ -76,8 +76,6 @@
 		return ObstacleTried, 0
 	case k.request.Software != "" && e.Software != k.request.Software:
 		return ObstacleSoftware, 0
-	case b.Notices.IsLeaving(e.Process()):
-		return ObstacleLeaving, 0
 	case s.running >= k.maxRunning:
 		return ObstacleConnections, 0
 	}
@@ -90,6 +88,10 @@
 	if e.ColdUntil > k.now && !b.hasColdQuota(k, e) {
 		return ObstacleCold, 0
 	}
+	// Looked for last, because an endpoint that leaves may be the last resort if nothing else keeps it from taking the request.
+	if b.Notices.IsLeaving(e.Process()) {
+		return ObstacleLeaving, 0
+	}
 
 	return ObstacleNone, 0
 }
