--- a/fleet/quarantiner/crash_tracker_test.go
+++ b/fleet/quarantiner/crash_tracker_test.go
@@ -165,3 +165,33 @@
 		t.Errorf("%d crashes counted against the request beside it, want 1", n)
 	}
 }
+
+// Guards against a few requests of a class that crash whatever runs them and take the sound ones, which share their prompt parts,
+// with them.
+func TestCrashingRequestsOfClassAreRefusedAndSoundOnesServed(t *testing.T) {
+	const crashers, crashes = 10, 3
+	class := Suspect{1, KindPart}
+	c := NewCrashTracker()
+	now := timekeeper.Second
+	for round := range crashes {
+		for n := range crashers {
+			request := Suspect{SuspectID(100 + n), KindRequest}
+			if isQuarantined, _ := c.IsQuarantined(request, now); isQuarantined {
+				t.Fatalf("request %d is refused after %d crashes", n, round)
+			}
+			crash := CrashID(round*crashers + n)
+			c.RecordLost(crash, []Suspect{request, class}, now)
+			c.RecordCrash(crash, now+100)
+			if isQuarantined, _ := c.IsQuarantined(class, now+100); isQuarantined {
+				t.Fatalf("sound requests are refused after %d crashes", round*crashers+n+1)
+			}
+			c.Suspects.RecordAnswer(class.ID, now+200)
+			now += 300
+		}
+	}
+	for n := range crashers {
+		if isQuarantined, _ := c.IsQuarantined(Suspect{SuspectID(100 + n), KindRequest}, now); !isQuarantined {
+			t.Errorf("request %d is sent again after %d crashes", n, crashes)
+		}
+	}
+}
