The software version of a process that is known to have ended is uncertain

Found by reading, for the question which version an endpoint is: one that starts again under its id with another version could be sent streams of the old one until the store said so. Test: TestSoftwareOfEndedProcessIsUncertain, which cannot be compiled before (the balancer had no such state).

--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -74,6 +74,9 @@
 	// remoteRunning is the number of running requests that other gateways have reported.
 	remoteRunning int
 	breaker       retrier.Breaker
+	// ended is the process that is known to have ended at endedAt, although it may still be listed.
+	ended   model.EndpointProcess
+	endedAt timekeeper.Millis
 }
 
 // Balancer holds the state behind the choices of one gateway. It is not safe for concurrent use.
@@ -88,6 +91,8 @@
 	Notices *budgeter.EndpointNotices
 	// LeaveGrace is how long an endpoint that says that it leaves is used if no other can take a request.
 	LeaveGrace timekeeper.Millis
+	// RenewalTime is how long the list can still hold the entry of an endpoint whose process has ended.
+	RenewalTime timekeeper.Millis
 	// PlacementLog holds the newest placements, for sending to other gateways.
 	PlacementLog locator.PlacementLog
 
@@ -175,6 +180,23 @@
 	s.running = max(0, s.running-1)
 }
 
+// RecordEnd records that the process of an endpoint has ended.
+func (b *Balancer) RecordEnd(p model.EndpointProcess, now timekeeper.Millis) {
+	s := b.state(p.ID)
+	s.ended, s.endedAt = p, now
+}
+
+// SoftwareOf returns the software version that an endpoint runs. It is empty if that is not certain, because the listed process has
+// ended: another one may have started under the same ID that the list does not show yet.
+func (b *Balancer) SoftwareOf(e *cataloguer.Endpoint, now timekeeper.Millis) model.SoftwareVersion {
+	s := b.state(e.ID)
+	if s.endedAt > 0 && s.ended == e.Process() && now-s.endedAt < b.RenewalTime {
+		return ""
+	}
+
+	return e.Software
+}
+
 // RecordSuccess closes the circuit breaker of an endpoint that has answered.
 func (b *Balancer) RecordSuccess(id model.EndpointID) {
 	b.state(id).breaker.RecordSuccess()
--- a/fleet/balancer/obstacle.go
+++ b/fleet/balancer/obstacle.go
@@ -74,7 +74,7 @@
 		return ObstacleDomainOut, 0
 	case contains(k.request.Tried, e.ID):
 		return ObstacleTried, 0
-	case k.request.Software != "" && e.Software != k.request.Software:
+	case k.request.Software != "" && b.SoftwareOf(e, k.now) != k.request.Software:
 		return ObstacleSoftware, 0
 	case s.running >= k.maxRunning:
 		return ObstacleConnections, 0
--- a/fleet/balancer/obstacle_test.go
+++ b/fleet/balancer/obstacle_test.go
@@ -96,3 +96,28 @@
 		t.Error("an endpoint that has left was chosen")
 	}
 }
+
+// Guards against a stream that goes on at an endpoint whose listed process has ended, and that may have started again with another
+// software version.
+func TestSoftwareOfEndedProcessIsUncertain(t *testing.T) {
+	b, v := newTestBalancer(), newView(1, 1)
+	b.RenewalTime = 5 * timekeeper.Second
+	e := v.Endpoint("e-0-0")
+	e.Software, e.StartedAt = "v1", 1
+	choose := func(now timekeeper.Millis) *model.Refusal {
+		_, refusal := b.Choose(v, Request{Service: testService, Software: "v1"}, now)
+
+		return refusal
+	}
+	b.RecordEnd(e.Process(), settled)
+	if b.SoftwareOf(e, settled) != "" || choose(settled+1) == nil {
+		t.Error("the process that has ended is taken for the one that answers")
+	}
+	if choose(settled+b.RenewalTime) != nil {
+		t.Error("a process whose entry was renewed since is still taken to have ended")
+	}
+	e.StartedAt = 2
+	if choose(settled+1) != nil {
+		t.Error("the process that is listed now is taken to have ended")
+	}
+}
--- a/router/internal/forwarder/crash.go
+++ b/router/internal/forwarder/crash.go
@@ -108,6 +108,7 @@
 func (f *Forwarder) recordCrash(e *cataloguer.Endpoint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.balancer.RecordEnd(e.Process(), f.clock.Now())
 	blamed := f.crashTracker.RecordCrash(crashID(e), f.clock.Now())
 	if len(blamed) > 0 {
 		endpointCrashes.Inc()
--- a/router/internal/forwarder/resume.go
+++ b/router/internal/forwarder/resume.go
@@ -56,6 +56,14 @@
 	})
 }
 
+// softwareOf returns the software version that an endpoint runs, empty if it is not certain.
+func (f *Forwarder) softwareOf(e *cataloguer.Endpoint) model.SoftwareVersion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.balancer.SoftwareOf(e, f.clock.Now())
+}
+
 // callerTimeLeft returns the rest of the time for which the caller waits, which the route's timeout does not shorten.
 func (p *proxiedRequest) callerTimeLeft() timekeeper.Millis {
 	if p.metadata.Timeout <= 0 {
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -119,7 +119,7 @@
 // startStream sends the response head to the caller when the first events arrive.
 func (p *proxiedRequest) startStream(response *http.Response) {
 	p.stream.hasStarted = true
-	p.stream.software = p.choice.Endpoint.Software
+	p.stream.software = p.forwarder.softwareOf(p.choice.Endpoint)
 	p.recordOrigin()
 	p.finishPrefill()
 	firstByteSeconds.Update(float64(p.forwarder.clock.Now()-p.arrivedAt) / 1000)
