Endpoints show where a stream ran by the tokens that they have generated, else by the part that they have read

Ruled out: asking too few endpoints (12 engines, 16 are asked); unread lists (no such line). Change: four requests suffice. In turn the evidence is better: engines count the tokens that a request has generated to the last part of its prompt, so endpoints that keep more than the part's own tokens show that they have generated; those that have only read it count if none has. Tests: the stand-in counts events to the last part; the version that comes also serves streams before the kill.

--- a/experimenter/internal/launcher/gateway_version_test.go
+++ b/experimenter/internal/launcher/gateway_version_test.go
@@ -198,6 +198,9 @@
 			must(t, f.DeregisterEndpoint(e.id))
 		}
 		time.Sleep(300 * time.Millisecond)
+		// The new version reads and generates as well before the gateways are killed.
+		sendStreams(t.Context(), newStreams(4, true), f.Gateways[1])
+		time.Sleep(300 * time.Millisecond)
 	}
 	cases := []struct {
 		name    string
--- a/fleet/resumer/part_owners.go
+++ b/fleet/resumer/part_owners.go
@@ -2,7 +2,7 @@
 
 const (
 	// minPartOwners is the number of requests that must have been seen before their last prompt parts are taken to be their own.
-	minPartOwners = 8
+	minPartOwners = 4
 	// maxPartOwners limits the parts that are remembered, at about 50 bytes each.
 	maxPartOwners = 4096
 )
--- a/router/internal/forwarder/resume_endpoint.go
+++ b/router/internal/forwarder/resume_endpoint.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/sourcegraph/conc"
@@ -11,7 +12,6 @@
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/resumer"
-	"cardamompulley/platform"
 )
 
 // askedEndpoints is the number of endpoints that are asked whether they have read the prompt of a stream that a caller resumes. The
@@ -22,13 +22,13 @@
 )
 
 // ownPart returns the last part of the prompt, or false if the request has no prompt.
-func (p *proxiedRequest) ownPart() (platform.CachedPart, bool) {
+func (p *proxiedRequest) ownPart() (model.PromptPart, bool) {
 	n := len(p.metadata.Prompt)
 	if n == 0 || !p.view.Configuration.Services[p.service].IsEngine {
-		return platform.CachedPart{}, false
+		return model.PromptPart{}, false
 	}
 
-	return platform.CachedPart{ID: p.metadata.Prompt[n-1].ID, Model: p.metadata.Model}, true
+	return p.metadata.Prompt[n-1], true
 }
 
 // recordPartOwner records to which request the last part of the prompt belongs.
@@ -48,9 +48,9 @@
 	owners.Record(part.ID, uint64(p.suspects[0].ID))
 }
 
-// findAtEndpoints returns the software version of the endpoints that have read the last part of the prompt, which belongs to the
-// request alone. It returns false if the part may belong to others, if none of the asked endpoints has read it, or if endpoints of
-// several versions have.
+// findAtEndpoints returns the software version of the endpoints that have generated tokens after the last part of the prompt. If none
+// of the asked endpoints has, it returns that of the endpoints that have read the part. It returns false if there is none, if there are
+// several versions, or if the part may belong to other requests too.
 func (p *proxiedRequest) findAtEndpoints() (model.SoftwareVersion, bool) {
 	part, ok := p.ownPart()
 	if !ok || !p.forwarder.arePartsOwn(p.service) {
@@ -58,32 +58,60 @@
 	}
 	likely := p.forwarder.likelyEndpoints(p.view, p.balancerRequest())
 	first := min(askedFirst, len(likely))
-	found := p.findHolders(likely[:first], part)
-	if len(found) == 0 {
-		found = p.findHolders(likely[first:], part)
+	found := p.askHolders(likely[:first], part)
+	if len(found.generated) == 0 {
+		found.add(p.askHolders(likely[first:], part))
 	}
-	for software := range found {
-		return software, len(found) == 1 && software != ""
+	if len(found.generated) == 0 {
+		return soleVersion(found.read)
+	}
+
+	return soleVersion(found.generated)
+}
+
+// holderVersions holds the software versions of the endpoints that have generated tokens after a prompt part, and of those that have
+// at least read it.
+type holderVersions struct {
+	generated, read map[model.SoftwareVersion]bool
+}
+
+func newHolderVersions() holderVersions {
+	return holderVersions{generated: map[model.SoftwareVersion]bool{}, read: map[model.SoftwareVersion]bool{}}
+}
+
+func (h *holderVersions) add(other holderVersions) {
+	maps.Copy(h.generated, other.generated)
+	maps.Copy(h.read, other.read)
+}
+
+// soleVersion returns the only version of a set, or false if there are several, or none that is known.
+func soleVersion(versions map[model.SoftwareVersion]bool) (model.SoftwareVersion, bool) {
+	for software := range versions {
+		return software, len(versions) == 1 && software != ""
 	}
 
 	return "", false
 }
 
-// findHolders returns the software versions of the endpoints that have cached a part.
-func (p *proxiedRequest) findHolders(endpoints []*cataloguer.Endpoint, part platform.CachedPart) map[model.SoftwareVersion]bool {
+// askHolders asks endpoints how much they keep of a part. Tokens that a request has generated count to the last part of its prompt.
+func (p *proxiedRequest) askHolders(endpoints []*cataloguer.Endpoint, part model.PromptPart) holderVersions {
 	var mu sync.Mutex
-	found := map[model.SoftwareVersion]bool{}
+	found := newHolderVersions()
+	key := cachedPartKey{id: part.ID, model: p.metadata.Model}
 	var w conc.WaitGroup
 	for _, e := range endpoints {
 		w.Go(func() {
-			isHeld, err := p.forwarder.cacheLists.holds(p.ctx, e, part)
+			kept, err := p.forwarder.cacheLists.kept(p.ctx, e, key)
 			if err != nil {
 				p.forwarder.log.Write(logger.EventCacheListUnread, logger.String("endpoint", e.ID), logger.Err(err))
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			if isHeld {
-				found[e.Software] = true
+			if kept > part.Tokens {
+				found.generated[e.Software] = true
+			}
+			if kept > 0 {
+				found.read[e.Software] = true
 			}
 		})
 	}
@@ -92,7 +120,7 @@
 	return found
 }
 
-// arePartsOwn reports whether the last prompt parts of a service's requests belong to one request each.
+// arePartsOwn reports whether the last prompt parts of a service's requests are seen to belong to one request each.
 func (f *Forwarder) arePartsOwn(id model.ServiceID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
