Up to 64 endpoints are asked where a stream ran, the likely ones first, each once in 10 s

What callers saw: on the grown sites, rejoined, refusals of 50 of 53 and 126 of 127 streams that came back to gateways in touch (LOST). Cause: 16 of 39 and 55 endpoints were asked, ranked by session; a burst spills over further down, and in the failure domain of a gateway that is gone. Ruled out: the order within the 16. Change: up to 64 endpoints in two waves; a list is used for 10 s, since streams that began later are mostly known to gateways; a gateway reads 128 lists in that time at the most.

--- a/router/internal/forwarder/cache_list.go
+++ b/router/internal/forwarder/cache_list.go
@@ -18,10 +18,14 @@
 )
 
 const (
-	// cacheListLifetime is how long the list of an endpoint's cached parts is used; listing delays the endpoint's work.
-	cacheListLifetime = 2 * timekeeper.Second
+	// cacheListLifetime is how long the list of an endpoint's cached parts is used. Listing delays the endpoint's work, and streams that
+	// have begun since are mostly known to gateways.
+	cacheListLifetime = 10 * timekeeper.Second
 	// cacheListTimeout bounds the time that an endpoint has to list its cached parts. A caller waits for the answer.
 	cacheListTimeout = 250 * timekeeper.Millis(1)
+	// maxCacheLists is the number of lists that a gateway reads within cacheListLifetime at the most, so that many broken streams do
+	// not delay all endpoints of a large service.
+	maxCacheLists = 128
 	// maxCacheListBytes is the size beyond which a list is not read.
 	maxCacheListBytes = 4 << 20
 )
@@ -31,6 +35,9 @@
 // errNoCacheList means that an endpoint does not list its cached parts.
 var errNoCacheList = errors.New("forwarder: the endpoint does not list its cached parts")
 
+// errTooManyLists means that the gateway has read as many lists as it may for now.
+var errTooManyLists = errors.New("forwarder: too many lists of cached parts")
+
 // cacheList is what an endpoint has cached, as it said at a time. Its other fields count once done is closed.
 type cacheList struct {
 	done   chan struct{}
@@ -78,6 +85,12 @@
 		return list
 	}
 	list := &cacheList{done: make(chan struct{}), readAt: l.clock.Now()}
+	if len(l.byProcess) >= maxCacheLists {
+		list.err = errTooManyLists
+		close(list.done)
+
+		return list
+	}
 	l.byProcess[e.Process()] = list
 	go l.read(e, list)
 
--- a/router/internal/forwarder/resume_endpoint.go
+++ b/router/internal/forwarder/resume_endpoint.go
@@ -17,7 +17,7 @@
 // askedEndpoints is the number of endpoints that are asked whether they have read the prompt of a stream that a caller resumes. The
 // askedFirst most likely ones are asked first, because asking delays their work.
 const (
-	askedEndpoints = 16
+	askedEndpoints = 64
 	askedFirst     = 4
 )
 
