--- a/experimenter/internal/launcher/gateway_version_test.go
+++ b/experimenter/internal/launcher/gateway_version_test.go
@@ -186,22 +186,25 @@
 	}
 }
 
+// replaceVersion lets engines of a new version take the place of old ones, which go on serving unlisted.
+func replaceVersion(t *testing.T, f *launcher.GatewayFleet, old, successors []versionedEngine) {
+	t.Helper()
+	startEngines(t, f, successors...)
+	for _, e := range old {
+		must(t, f.DeregisterEndpoint(e.id))
+	}
+	time.Sleep(300 * time.Millisecond)
+	// The new version reads and generates as well before anything is killed.
+	sendStreams(t.Context(), newStreams(4, true), f.Gateways[1])
+	time.Sleep(300 * time.Millisecond)
+}
+
 // Guards against gateways that let a caller take up a stream at an endpoint of another software version, or that refuse it though
 // they can know the version.
 func TestCallersResumeStreamsOnlyAtVersionThatBeganThem(t *testing.T) {
 	const streams = 24
 	two := []versionedEngine{{"a1", "v1"}, {"a2", "v1"}, {"b1", "v2"}, {"b2", "v2"}}
 	old := two[:2]
-	leave := func(t *testing.T, f *launcher.GatewayFleet) {
-		startEngines(t, f, two[2:]...)
-		for _, e := range old {
-			must(t, f.DeregisterEndpoint(e.id))
-		}
-		time.Sleep(300 * time.Millisecond)
-		// The new version reads and generates as well before the gateways are killed.
-		sendStreams(t.Context(), newStreams(4, true), f.Gateways[1])
-		time.Sleep(300 * time.Millisecond)
-	}
 	cases := []struct {
 		name    string
 		engines []versionedEngine
@@ -227,11 +230,11 @@
 		}, 0, true},
 		{"all gateways are killed beside two versions that hold the prompts", two, restartGateways, streams / 2, false},
 		{"all gateways are killed after the old version has left", old, func(t *testing.T, f *launcher.GatewayFleet) {
-			leave(t, f)
+			replaceVersion(t, f, two[:2], two[2:])
 			restartGateways(t, f)
 		}, 0, true},
 		{"all gateways are killed after the old version has left and history is gone", old, func(t *testing.T, f *launcher.GatewayFleet) {
-			leave(t, f)
+			replaceVersion(t, f, two[:2], two[2:])
 			must(t, f.CompactStore())
 			restartGateways(t, f)
 		}, 0, true},
