--- a/router/internal/forwarder/resume.go
+++ b/router/internal/forwarder/resume.go
@@ -1,45 +1,19 @@
 package forwarder
 
 import (
-	"context"
-
 	"github.com/VictoriaMetrics/metrics"
 
-	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/resumer"
 	"cardamompulley/fleet/timekeeper"
 )
 
-const (
-	// minStreamWindow is the least age that a stream may have that a caller resumes, while no caller has said that it waits longer.
-	minStreamWindow = 15 * timekeeper.Second
-	// maxStreamWindow bounds the age of streams that callers resume, whatever they say.
-	maxStreamWindow = 10 * timekeeper.Minute
-)
-
 var (
 	resumesServed  = metrics.NewCounter("gateway_resumed_by_callers_total")
 	resumesRefused = metrics.NewCounter("gateway_resumes_refused_total")
 )
 
-// ResumeLimits configures which streams callers can resume.
-type ResumeLimits struct {
-	// Linger is how long an endpoint that has left the list can still begin streams.
-	Linger timekeeper.Millis
-	// MaxSilence is the time without an answer of the store beyond which other gateways may know newer versions.
-	MaxSilence timekeeper.Millis
-}
-
-// OriginQuestion asks which software version began a stream.
-type OriginQuestion struct {
-	Key     resumer.StreamKey
-	Service model.ServiceID
-	// Window is the longest time since the stream can have begun.
-	Window timekeeper.Millis
-}
-
 // recordOrigin records which software version began the stream, so that its caller can resume it at any gateway.
 func (p *proxiedRequest) recordOrigin() {
 	if !p.route.IsResumable {
@@ -56,14 +30,6 @@
 	})
 }
 
-// softwareOf returns the software version that an endpoint runs, empty if it is not certain.
-func (f *Forwarder) softwareOf(e *cataloguer.Endpoint) model.SoftwareVersion {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	return f.balancer.SoftwareOf(e, f.clock.Now())
-}
-
 // callerTimeLeft returns the rest of the time for which the caller waits, which the route's timeout does not shorten.
 func (p *proxiedRequest) callerTimeLeft() timekeeper.Millis {
 	if p.metadata.Timeout <= 0 {
@@ -140,126 +106,3 @@
 		logger.Int("asked", len(testimonies)-1+unanswered), logger.Int("unanswered", unanswered),
 		logger.Bool("at-endpoints", isAtEndpoints))...)
 }
-
-// streamWindow returns the longest time since a stream of a service can have begun that a caller still resumes. The route may be
-// nil.
-func (f *Forwarder) streamWindow(id model.ServiceID, r *cataloguer.Route) timekeeper.Millis {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	window := max(f.longestWaits[id], minStreamWindow)
-	if r != nil {
-		window = max(window, r.Timeout)
-	}
-
-	return min(window, maxStreamWindow)
-}
-
-// recordWait records how long a caller of a service is ready to wait for a resumable stream.
-func (f *Forwarder) recordWait(id model.ServiceID, wait timekeeper.Millis) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.longestWaits[id] = max(f.longestWaits[id], min(wait, maxStreamWindow))
-}
-
-// recordBeginning records which software version began a stream and makes the gateway tell others if they cannot know it.
-func (f *Forwarder) recordBeginning(b resumer.Beginning) {
-	isSilent := f.StoreSilence() > f.maxSilence
-	f.mu.Lock()
-	f.origins.RecordBeginning(b, f.clock.Now())
-	isNeeded := isSilent || !f.isSole(b.Service)
-	f.mu.Unlock()
-	if isNeeded {
-		f.TellOrigins()
-	}
-}
-
-// isSole reports whether one known version alone can have begun the streams of a service that callers still resume. f.mu must be
-// held.
-func (f *Forwarder) isSole(id model.ServiceID) bool {
-	window := min(max(f.longestWaits[id], minStreamWindow), maxStreamWindow)
-
-	return f.versions.IsSole(id, f.clock.Now()-window)
-}
-
-// Testify returns what this gateway knows of a stream.
-func (f *Forwarder) Testify(q OriginQuestion) resumer.Testimony {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock.Now()
-	t := resumer.Testimony{
-		Seen:       f.versions.Seen(q.Service, now-q.Window),
-		IsComplete: f.versions.IsComplete(now - q.Window),
-	}
-	if q.Key != 0 {
-		t.Software, t.IsKnown = f.origins.Find(q.Key, now)
-	}
-
-	return t
-}
-
-// MergeOrigins takes in the origins of streams that another gateway has told.
-func (f *Forwarder) MergeOrigins(origins []resumer.Origin) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, o := range origins {
-		f.origins.Merge(o, f.clock.Now())
-	}
-}
-
-// TakeUntoldOrigins returns the origins that other gateways have to be told: those of services of which several versions, or
-// unknown ones, may have begun streams; all, if others may know newer versions because the store is silent here.
-func (f *Forwarder) TakeUntoldOrigins() []resumer.Origin {
-	isSilent := f.StoreSilence() > f.maxSilence
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	return f.origins.TakeUntold(func(id model.ServiceID) bool { return isSilent || !f.isSole(id) }, f.clock.Now())
-}
-
-// ReturnUntoldOrigins takes back origins that could not be told.
-func (f *Forwarder) ReturnUntoldOrigins(origins []resumer.Origin) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.origins.ReturnUntold(origins)
-}
-
-// UpdateVersions calls update with the history of software versions while it holds the forwarder's lock, and makes the gateway
-// tell others what they may need to know then.
-func (f *Forwarder) UpdateVersions(update func(*resumer.VersionHistory)) {
-	f.mu.Lock()
-	update(f.versions)
-	f.mu.Unlock()
-	f.TellOrigins()
-}
-
-// DoubtOrigins makes the origins of the streams uncertain that have begun at an endpoint since a time: the endpoint has started
-// again with another software version.
-func (f *Forwarder) DoubtOrigins(id model.EndpointID, since timekeeper.Millis) {
-	f.mu.Lock()
-	f.origins.Doubt(id, since)
-	f.mu.Unlock()
-	f.TellOrigins()
-}
-
-// ExpireOrigins forgets streams that cannot be resumed any more, and versions that no such stream can have begun at.
-func (f *Forwarder) ExpireOrigins() {
-	f.cacheLists.expire()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock.Now()
-	f.origins.Expire(now)
-	f.versions.Expire(now - maxStreamWindow)
-}
-
-// OriginCounts returns the number of streams whose origins are remembered, and of those that were forgotten early.
-func (f *Forwarder) OriginCounts() (remembered, evicted int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	return f.origins.Count(), f.origins.Evicted
-}
-
-// noOrigins is what a gateway without others learns from them.
-func noOrigins(context.Context, OriginQuestion) ([]resumer.Testimony, int) {
-	return nil, 0
-}
--- a/router/internal/gateway/software_history.go
+++ b/router/internal/gateway/software_history.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"sync"
 
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/logger"
@@ -18,8 +17,6 @@
 	firstEra = replicator.Era(1)
 	// firstRevision is the revision after which a whole history begins.
 	firstRevision = 1
-	// shortestWait is the wait of a watch call for changes that are there already.
-	shortestWait = timekeeper.Millis(1)
 	// historyTries and historyPause are how often the history is read until it is, and the pause in between.
 	historyTries = 5
 	historyPause = timekeeper.Second
@@ -36,45 +33,6 @@
 	return g.clock.Now() - g.endpointsKnownAt
 }
 
-// refreshTimeout bounds a look at the store for which a caller waits.
-const refreshTimeout = 250 * timekeeper.Millis(1)
-
-// refreshState lets callers that wait for the store's newest list share a look at it.
-type refreshState struct {
-	mu        sync.Mutex
-	startedAt timekeeper.Millis
-	succeeded bool
-}
-
-// refreshEndpoints brings both ranges up to date with the store by a call that begins after it was called. It returns false if the
-// store does not answer in time.
-func (g *Gateway) refreshEndpoints(ctx context.Context) bool {
-	calledAt := g.clock.Now()
-	g.refresh.mu.Lock()
-	defer g.refresh.mu.Unlock()
-	if g.refresh.startedAt > calledAt {
-		return g.refresh.succeeded
-	}
-	g.refresh.startedAt = g.clock.Now()
-	g.refresh.succeeded = g.lookAtStore(ctx)
-
-	return g.refresh.succeeded
-}
-
-// lookAtStore applies the changes that the store has now.
-func (g *Gateway) lookAtStore(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout.Duration())
-	defer cancel()
-	ranges := g.storeRanges()
-	events, at, err := g.store.Watch(ctx, g.oldestSynced(ranges), shortestWait)
-	if err != nil {
-		return false
-	}
-	g.applyEvents(ranges, events, at)
-
-	return true
-}
-
 // recordWholeList records that a replica is being replaced by the whole range as it was at a time. If that is long after the last
 // known state of the endpoint list, endpoints may have come and gone in between. g.mu must be held.
 func (g *Gateway) recordWholeList(r *replicator.Replica, era replicator.Era, at timekeeper.Millis) {
