The first event of a stream does not wait for the gateway's lock

The age of the endpoint list, which decides whether an origin is told, was read under the lock that exchanges hold while they copy ranges. Found by reading; an atomic value now.

--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -53,6 +53,9 @@
 	// viewReady is closed when the first view, of a configuration and a list of endpoints, is in force.
 	viewReady chan struct{}
 	peers     *peers
+	// endpointsKnownAt is the latest time, in milliseconds, at which the list of endpoints was known to be whole. It is written with mu
+	// held, and read without by requests.
+	endpointsKnownAt atomic.Int64
 	// controlTraffic counts the bytes exchanged with other gateways; the metric is control_bytes_total.
 	controlTraffic counter.Counter
 
@@ -64,10 +67,8 @@
 	// storePosition is that of the store's last answer.
 	storePosition replicator.Position
 	decoded       *decodedState
-	// endpointsKnownAt is the latest time at which the list of endpoints was known to be whole.
-	endpointsKnownAt timekeeper.Millis
-	refresh          refreshState
-	startedAt        timekeeper.Millis
+	refresh       refreshState
+	startedAt     timekeeper.Millis
 }
 
 // NewGateway returns a gateway without a view; it is not ready until Run has obtained one.
--- a/router/internal/gateway/software_history.go
+++ b/router/internal/gateway/software_history.go
@@ -24,13 +24,17 @@
 
 // storeSilence returns the time since the store last answered this gateway or another one.
 func (g *Gateway) storeSilence() timekeeper.Millis {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.endpointsKnownAt == 0 {
+	knownAt := timekeeper.Millis(g.endpointsKnownAt.Load())
+	if knownAt == 0 {
 		return timekeeper.Hour
 	}
 
-	return g.clock.Now() - g.endpointsKnownAt
+	return g.clock.Now() - knownAt
+}
+
+// raiseEndpointsKnownAt records that the list of endpoints was known to be whole at a time. g.mu must be held.
+func (g *Gateway) raiseEndpointsKnownAt(at timekeeper.Millis) {
+	g.endpointsKnownAt.Store(max(g.endpointsKnownAt.Load(), int64(at)))
 }
 
 // recordWholeList records that a replica is being replaced by the whole range as it was at a time. If that is long after the last
@@ -39,8 +43,8 @@
 	if r != g.endpointReplica {
 		return
 	}
-	isContinuous := r.HasSynced() && era == r.Synced().Era && at-g.endpointsKnownAt <= g.settings.DrainTime
-	g.endpointsKnownAt = max(g.endpointsKnownAt, at)
+	isContinuous := r.HasSynced() && era == r.Synced().Era && at-timekeeper.Millis(g.endpointsKnownAt.Load()) <= g.settings.DrainTime
+	g.raiseEndpointsKnownAt(at)
 	if !isContinuous {
 		g.forwarder.UpdateVersions(func(h *resumer.VersionHistory) { h.Restart(at) })
 	}
@@ -51,7 +55,7 @@
 	if r != g.endpointReplica {
 		return
 	}
-	g.endpointsKnownAt = max(g.endpointsKnownAt, at)
+	g.raiseEndpointsKnownAt(at)
 	endpoints := decodeChanges(changes)
 	if len(endpoints) == 0 {
 		return
@@ -84,7 +88,7 @@
 	if e.Software == previous.Software {
 		return
 	}
-	since := g.endpointsKnownAt - outageHeartbeats*g.settings.HeartbeatInterval
+	since := timekeeper.Millis(g.endpointsKnownAt.Load()) - outageHeartbeats*g.settings.HeartbeatInterval
 	g.forwarder.DoubtOrigins(e.ID, since)
 }
 
