A fresh list counts only beside a whole history of the same gateway

Cause: a gateway cut off from the others and from the store, which had discarded changes, read the list anew: its fresh testimony knew that its history had a gap, the one from before did not, and both were taken together. A version that came and left in between was in neither. Change: one testimony has to be both whole and fresh, unless all gateways answer. Test: TestFreshListDoesNotCompleteOldOne and a case of TestResolve, which failed before.

--- a/experimenter/internal/prover/resume_simulation_test.go
+++ b/experimenter/internal/prover/resume_simulation_test.go
@@ -10,6 +10,15 @@
 	requireNoViolation(t, Properties()[6])
 }
 
+// Guards against a version that came and left between the old list of a gateway and its fresh one.
+func TestFreshListDoesNotCompleteOldOne(t *testing.T) {
+	for _, seed := range []uint64{1046, 2512} {
+		if v := RunResumeSimulation(NewChooser(seed), ResumeVariant{}); v != nil {
+			t.Errorf("seed %d: %v", seed, v)
+		}
+	}
+}
+
 func TestResumedStreamsRapid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
--- a/fleet/resumer/testimony.go
+++ b/fleet/resumer/testimony.go
@@ -30,13 +30,14 @@
 	if !isSole {
 		return "", false
 	}
-	isFresh, isComplete := unanswered == 0, false
+	// A fresh list beside another gateway's whole history proves nothing: what came and left in between is in neither.
 	for _, t := range testimonies {
-		isFresh = isFresh || t.IsFresh
-		isComplete = isComplete || t.IsComplete
+		if t.IsComplete && (t.IsFresh || unanswered == 0) {
+			return software, true
+		}
 	}
 
-	return software, isFresh && isComplete
+	return "", false
 }
 
 // knownOrigin returns the version that began the stream by all testimonies that know it, empty if they differ, or false if none
--- a/fleet/resumer/testimony_test.go
+++ b/fleet/resumer/testimony_test.go
@@ -31,7 +31,7 @@
 		{"only an unnamed version has served", []Testimony{seen(true, true, "")}, 0, ""},
 		{"one has not answered, by an old list", []Testimony{seen(true, false, "v1")}, 1, ""},
 		{"one has not answered, by a fresh list", []Testimony{seen(true, true, "v1")}, 1, "v1"},
-		{"one has not answered, by a fresh list and another's long history", []Testimony{seen(false, true, "v1"), seen(true, false, "v1")}, 1, "v1"},
+		{"one has not answered, by a fresh list and another's long history", []Testimony{seen(false, true, "v1"), seen(true, false, "v1")}, 1, ""},
 	}
 	for _, c := range cases {
 		got, ok := Resolve(c.testimonies, c.unanswered)
