Origins that no other gateway could be told are told when one can be reached

Cause: that gateway was cut off from all others when the stream began (64.2 s, cut until 65.2 s). Its origin was taken to be told, found no holder, and counted as told; the four gateways that were asked 9.7 s later had never heard of it. Traced with what each gateway knew at the refusal. Ruled out: the death of a gateway, as the test's name had it: none died in that time. The same loss came after three failed calls within milliseconds. Change: an origin without a reachable holder, or whose holder did not answer, is told again, twice a second until its stream cannot be resumed any more; at once if a holder turns out to be out of reach. The count of attempts goes.

--- a/experimenter/internal/prover/resume_gateway.go
+++ b/experimenter/internal/prover/resume_gateway.go
@@ -119,9 +119,13 @@
 		return s.silence(g) > resumeMaxSilence || !g.versions.IsSole(id, s.now-resumeWindow)
 	}
 	for _, o := range g.origins.TakeUntold(isNeeded, s.now) {
-		for _, other := range s.ranked(g, o.Key, resumeHolders) {
+		holders := s.ranked(g, o.Key, resumeHolders)
+		for _, other := range holders {
 			other.origins.Merge(o, s.now)
 		}
+		if len(holders) == 0 && !s.variant.TellsOnce {
+			g.origins.ReturnUntold([]resumer.Origin{o})
+		}
 	}
 }
 
--- a/experimenter/internal/prover/resume_simulation.go
+++ b/experimenter/internal/prover/resume_simulation.go
@@ -24,6 +24,8 @@
 	TrustsOldLists bool
 	// AsksNoEndpoint does not ask endpoints whether they have read the prompt of a stream that no gateway knows.
 	AsksNoEndpoint bool
+	// TellsOnce forgets to tell the origins of streams that began while no other gateway could be reached.
+	TellsOnce bool
 	// TellsNobody keeps the origins of streams at the gateways that began them.
 	TellsNobody bool
 }
--- a/experimenter/internal/prover/resume_simulation_test.go
+++ b/experimenter/internal/prover/resume_simulation_test.go
@@ -18,12 +18,15 @@
 	}
 }
 
-// Guards against an origin that is lost although only the gateway that began the stream has died.
+// Guards against an origin that nobody was told because no other gateway could be reached when its stream began.
 func TestDeathOfOneGatewayLosesNoOrigin(t *testing.T) {
 	const seed = 2512
 	if v := RunResumeSimulation(NewChooser(seed), ResumeVariant{}); v != nil {
 		t.Fatal(v)
 	}
+	if v := RunResumeSimulation(NewChooser(seed), ResumeVariant{TellsOnce: true}); v == nil {
+		t.Fatal("the schedule does not show origins that are told only once")
+	}
 }
 
 func TestResumedStreamsRapid(t *testing.T) {
--- a/fleet/resumer/origin_table.go
+++ b/fleet/resumer/origin_table.go
@@ -11,8 +11,6 @@
 const (
 	// maxOrigins limits the origins that are remembered, at about 200 bytes each.
 	maxOrigins = 50_000
-	// maxTellAttempts is how often an origin is sent to other gateways while some of them do not answer.
-	maxTellAttempts = 3
 	// expiryInterval is the time between two searches for origins that have expired.
 	expiryInterval = 2 * timekeeper.Second
 )
@@ -40,8 +38,6 @@
 
 	beganAt timekeeper.Millis
 	isTold  bool
-	// tellAttempts counts how often the origin was taken to be told.
-	tellAttempts int
 }
 
 // OriginTable remembers which software versions began streams, here and at gateways that have told so. Its size is limited. It is
@@ -125,7 +121,6 @@
 	for _, e := range t.entries {
 		if e.Endpoint == id && e.beganAt >= since && e.Software != "" {
 			e.Software = ""
-			e.tellAttempts = 0
 			t.setUntold(e)
 		}
 	}
@@ -144,7 +139,6 @@
 			return false
 		}
 		e.isTold = true
-		e.tellAttempts++
 		taken = append(taken, e.Origin)
 
 		return true
@@ -153,10 +147,10 @@
 	return taken
 }
 
-// ReturnUntold returns origins that could not be told, so that they are taken again, up to maxTellAttempts times in all.
+// ReturnUntold returns origins that could not be told, so that they are taken again.
 func (t *OriginTable) ReturnUntold(origins []Origin) {
 	for _, o := range origins {
-		if e, ok := t.entries[o.Key]; ok && e.isTold && e.tellAttempts < maxTellAttempts {
+		if e, ok := t.entries[o.Key]; ok && e.isTold {
 			t.setUntold(e)
 		}
 	}
--- a/fleet/resumer/origin_table_test.go
+++ b/fleet/resumer/origin_table_test.go
@@ -51,15 +51,18 @@
 	if taken := table.TakeUntold(never, 1); len(taken) != 0 {
 		t.Fatalf("%d origins are told although nobody needs them", len(taken))
 	}
-	for n := range maxTellAttempts {
+	for n := range 10 {
 		taken := table.TakeUntold(always, 1)
 		if len(taken) != 1 || taken[0].Key != 1 {
 			t.Fatalf("attempt %d: told %+v, want the stream that began here", n, taken)
 		}
+		if again := table.TakeUntold(always, 1); len(again) != 0 {
+			t.Fatalf("attempt %d: %d origins are told twice", n, len(again))
+		}
 		table.ReturnUntold(taken)
 	}
-	if taken := table.TakeUntold(always, 1); len(taken) != 0 {
-		t.Fatalf("%d origins are told once more", len(taken))
+	if taken := table.TakeUntold(always, 10*timekeeper.Second); len(taken) != 0 {
+		t.Fatalf("%d origins are told of streams that nobody can resume any more", len(taken))
 	}
 }
 
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -168,6 +168,7 @@
 		g.peers.removeStale()
 		g.forwarder.ExpireLosses()
 		g.forwarder.ExpireOrigins()
+		g.peers.originTeller.wake()
 		g.pool.Prune(isListed)
 		var due []*cataloguer.Endpoint
 		var outliers, recovered []model.EndpointID
--- a/router/internal/gateway/origin_exchange.go
+++ b/router/internal/gateway/origin_exchange.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 
@@ -85,18 +86,25 @@
 	}
 }
 
+// groupByHolder returns the origins that each holder is to be told. Those without a reachable holder are told later.
 func (p *peers) groupByHolder(origins []resumer.Origin) map[string][]resumer.Origin {
 	byHolder := map[string][]resumer.Origin{}
+	var later []resumer.Origin
 	for _, o := range origins {
-		for _, address := range p.holders(o.Key, originHolders) {
+		holders := p.holders(o.Key, originHolders)
+		if len(holders) == 0 {
+			later = append(later, o)
+		}
+		for _, address := range holders {
 			byHolder[address] = append(byHolder[address], o)
 		}
 	}
+	p.gateway.forwarder.ReturnUntoldOrigins(later)
 
 	return byHolder
 }
 
-// sendOrigins tells a gateway origins. If it does not answer, they are told to others.
+// sendOrigins tells a gateway origins. If it does not answer, others are told, or the same one later.
 func (p *peers) sendOrigins(ctx context.Context, address string, origins []resumer.Origin) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
 	defer cancel()
@@ -108,9 +116,10 @@
 		})
 	}
 	if _, err := p.clientFor(address).RecordOrigins(ctx, request); err != nil {
-		p.markUnreachable(address, err)
 		p.gateway.forwarder.ReturnUntoldOrigins(origins)
-		p.originTeller.wake()
+		if p.markUnreachable(address, err) {
+			p.originTeller.wake()
+		}
 	}
 }
 
@@ -150,7 +159,7 @@
 				if t.IsKnown {
 					cancel()
 				}
-			case ctx.Err() == nil || ctx.Err() == context.DeadlineExceeded:
+			case ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
 				unanswered++
 				p.markUnreachable(address, err)
 			}
@@ -207,11 +216,11 @@
 	return count
 }
 
-// markUnreachable records that a gateway does not answer; its next exchange of gossip decides anew. One of an earlier version, which
-// does not know the call, is reachable.
-func (p *peers) markUnreachable(address string, err error) {
+// markUnreachable records that a gateway does not answer, and returns false if that is known; its next exchange of gossip decides anew.
+// One of an earlier version, which does not know the call, is reachable.
+func (p *peers) markUnreachable(address string, err error) bool {
 	if connect.CodeOf(err) == connect.CodeUnimplemented {
-		return
+		return false
 	}
 	p.mu.Lock()
 	other, ok := p.byAddress[address]
@@ -223,4 +232,6 @@
 	if isNew {
 		p.gateway.log.Write(logger.EventGatewayUnreachable, logger.String("gateway", address), logger.Err(err))
 	}
+
+	return isNew
 }
