Software versions count from the first list of endpoints on, with or without a configuration

Cause: the versions of a list were recorded only when a view was built, which needs a configuration. A version that was listed when a gateway started and left before the configuration came was missing from a history that called itself whole, although other gateways may have begun streams at it. Change: they are recorded when the list is decoded. Figures: TestVersionsCountBeforeConfigurationIsKnown, no version seen before, one now.

--- a/router/internal/gateway/decode.go
+++ b/router/internal/gateway/decode.go
@@ -37,11 +37,11 @@
 func (g *Gateway) rebuildView() {
 	g.decodeOperatorRange()
 	endpoints := g.decodeEndpointRange()
+	g.forwarder.UpdateVersions(func(h *resumer.VersionHistory) { h.Observe(endpoints, g.clock.Now()) })
 	if g.decoded.configuration == nil || !g.endpointReplica.HasSynced() {
 		return
 	}
 	isFirst := g.view.Load() == nil
-	g.forwarder.UpdateVersions(func(h *resumer.VersionHistory) { h.Observe(endpoints, g.clock.Now()) })
 	g.view.Store(cataloguer.NewView(g.decoded.configuration, g.decoded.domainsOut, endpoints, g.clock.Now()))
 	if isFirst {
 		close(g.viewReady)
--- a/router/internal/gateway/software_history_test.go
+++ b/router/internal/gateway/software_history_test.go
@@ -63,3 +63,22 @@
 		})
 	}
 }
+
+// Guards against a version that has left before the gateway has a configuration, and that other gateways may have used.
+func TestVersionsCountBeforeConfigurationIsKnown(t *testing.T) {
+	s := NewSettings()
+	s.PeerListen, s.StoreAddress = "127.0.0.1:1", "127.0.0.1:1"
+	g := NewGateway(s, timekeeper.NewSystemClock(), logger.NewDiscard())
+	first := entryItem(t, replicator.Position{Revision: 5}, false, 1, 0)
+	gone := replicator.Item{Key: first.Key, Position: replicator.Position{Revision: 6}, IsDeleted: true}
+	g.updateReplica("list", g.endpointReplica, func(now timekeeper.Millis) bool {
+		return g.endpointReplica.Replace([]replicator.Item{first}, replicator.Position{Revision: 5}, now, now)
+	})
+	g.updateReplica("changes", g.endpointReplica, func(now timekeeper.Millis) bool {
+		return g.endpointReplica.Apply([]replicator.Item{gone}, replicator.Position{Revision: 6}, now, now)
+	})
+	seen := g.forwarder.Testify(forwarder.OriginQuestion{Service: "s", Window: timekeeper.Minute}).Seen
+	if len(seen) != 1 || seen[0] != imitator.DefaultSoftware {
+		t.Errorf("versions %v, want the one that was listed", seen)
+	}
+}
