Names of resumed streams: reports in place of testimonies, origins are sent in place of told; one sole version

Cause: read as a newcomer, a testimony, untold origins and a doubt needed a second reading, and the only version among some was found in three ways (Resolve, IsSole, the endpoints that hold a prompt). Change: Report, StreamStart, TakeUnsent, MarkUncertain, SendOrigins, longestTimeouts; SoleVersion is the one place. Nothing that leaves a process changes.

--- a/experimenter/internal/prover/resume_gateway.go
+++ b/experimenter/internal/prover/resume_gateway.go
@@ -84,7 +84,7 @@
 		}
 	}
 	s.readList(g)
-	s.tellOrigins(g)
+	s.sendOrigins(g)
 }
 
 // reaches reports whether a gateway reaches another one.
@@ -110,27 +110,27 @@
 	return s.now - g.listedAt
 }
 
-// tellOrigins lets a gateway tell others the origins that they need to know.
-func (s *resumeSimulation) tellOrigins(g *resumeGateway) {
-	if s.variant.TellsNobody {
+// sendOrigins lets a gateway send others the origins that they need.
+func (s *resumeSimulation) sendOrigins(g *resumeGateway) {
+	if s.variant.SendsNoOrigins {
 		return
 	}
 	isNeeded := func(id model.ServiceID) bool {
 		return s.silence(g) > resumeMaxSilence || !g.versions.IsSole(id, s.now-resumeWindow)
 	}
-	for _, o := range g.origins.TakeUntold(isNeeded, s.now) {
+	for _, o := range g.origins.TakeUnsent(isNeeded, s.now) {
 		holders := s.ranked(g, o.Key, resumeHolders)
 		for _, other := range holders {
 			other.origins.Merge(o, s.now)
 		}
-		if len(holders) == 0 && !s.variant.TellsOnce {
-			g.origins.ReturnUntold([]resumer.Origin{o})
+		if len(holders) == 0 && !s.variant.SendsOnce {
+			g.origins.ReturnUnsent([]resumer.Origin{o})
 		}
 	}
 }
 
-func (s *resumeSimulation) testify(g *resumeGateway, key resumer.StreamKey) resumer.Testimony {
-	t := resumer.Testimony{
+func (s *resumeSimulation) reportOrigin(g *resumeGateway, key resumer.StreamKey) resumer.Report {
+	t := resumer.Report{
 		Seen:       g.versions.Seen(resumeService, s.now-resumeWindow),
 		IsComplete: g.versions.IsComplete(s.now - resumeWindow),
 	}
@@ -139,13 +139,13 @@
 	return t
 }
 
-// freshTestimony returns what a gateway knows after another look at the store, if the store answers it.
-func (s *resumeSimulation) freshTestimony(g *resumeGateway, key resumer.StreamKey) resumer.Testimony {
+// freshReport returns what a gateway knows after another look at the store, if the store answers it.
+func (s *resumeSimulation) freshReport(g *resumeGateway, key resumer.StreamKey) resumer.Report {
 	isFresh := s.now >= g.storeSilentUntil
 	if isFresh && !s.variant.TrustsOldLists {
 		s.followStore(g)
 	}
-	t := s.testify(g, key)
+	t := s.reportOrigin(g, key)
 	t.IsFresh = isFresh || s.variant.TrustsOldLists
 
 	return t
@@ -153,7 +153,7 @@
 
 // resolve returns the version at which a gateway lets a stream go on, or false if it refuses the caller.
 func (s *resumeSimulation) resolve(g *resumeGateway, stream *resumedStream) (model.SoftwareVersion, bool) {
-	testimonies := []resumer.Testimony{s.testify(g, stream.key)}
+	reports := []resumer.Report{s.reportOrigin(g, stream.key)}
 	unanswered := 0
 	for _, other := range s.gateways {
 		if other != g && !s.reaches(g, other) {
@@ -162,12 +162,12 @@
 	}
 	if !s.variant.AsksNobody {
 		for _, other := range s.ranked(g, stream.key, resumeAsked) {
-			testimonies = append(testimonies, s.testify(other, stream.key))
+			reports = append(reports, s.reportOrigin(other, stream.key))
 		}
 	}
-	software, isResolved := resumer.Resolve(testimonies, unanswered)
+	software, isResolved := resumer.Resolve(reports, unanswered)
 	if !isResolved && unanswered > 0 {
-		software, isResolved = resumer.Resolve(append(testimonies, s.freshTestimony(g, stream.key)), unanswered)
+		software, isResolved = resumer.Resolve(append(reports, s.freshReport(g, stream.key)), unanswered)
 	}
 	switch {
 	case isResolved:
--- a/experimenter/internal/prover/resume_simulation.go
+++ b/experimenter/internal/prover/resume_simulation.go
@@ -24,10 +24,10 @@
 	TrustsOldLists bool
 	// AsksNoEndpoint does not ask endpoints whether they have read the prompt of a stream that no gateway knows.
 	AsksNoEndpoint bool
-	// TellsOnce forgets to tell the origins of streams that began while no other gateway could be reached.
-	TellsOnce bool
-	// TellsNobody keeps the origins of streams at the gateways that began them.
-	TellsNobody bool
+	// SendsOnce forgets to send the origins of streams that began while no other gateway could be reached.
+	SendsOnce bool
+	// SendsNoOrigins keeps the origins of streams at the gateways that began them.
+	SendsNoOrigins bool
 }
 
 const (
@@ -214,11 +214,11 @@
 	s.keys++
 	stream := &resumedStream{key: resumer.StreamKey(s.keys), software: e.Software, endpoint: e, beganAt: s.now, gateway: g}
 	s.streams = append(s.streams, stream)
-	g.origins.RecordBeginning(resumer.Beginning{
+	g.origins.RecordStart(resumer.StreamStart{
 		Origin:  resumer.Origin{Key: stream.key, Software: e.Software, Until: s.now + resumeWindow},
 		Service: resumeService, Endpoint: e.ID,
 	}, s.now)
-	s.tellOrigins(g)
+	s.sendOrigins(g)
 }
 
 // resumeStream lets the caller of a random stream resume it at a random gateway, and checks where it goes on.
--- a/experimenter/internal/prover/resume_simulation_test.go
+++ b/experimenter/internal/prover/resume_simulation_test.go
@@ -18,14 +18,14 @@
 	}
 }
 
-// Guards against an origin that nobody was told because no other gateway could be reached when its stream began.
+// Guards against an origin that nobody was sent because no other gateway could be reached when its stream began.
 func TestDeathOfOneGatewayLosesNoOrigin(t *testing.T) {
 	const seed = 2512
 	if v := RunResumeSimulation(NewChooser(seed), ResumeVariant{}); v != nil {
 		t.Fatal(v)
 	}
-	if v := RunResumeSimulation(NewChooser(seed), ResumeVariant{TellsOnce: true}); v == nil {
-		t.Fatal("the schedule does not show origins that are told only once")
+	if v := RunResumeSimulation(NewChooser(seed), ResumeVariant{SendsOnce: true}); v == nil {
+		t.Fatal("the schedule does not show origins that are sent only once")
 	}
 }
 
@@ -46,7 +46,7 @@
 		"asks nobody":                 {AsksNobody: true},
 		"trusts old lists":            {TrustsOldLists: true},
 		"asks no endpoint":            {AsksNoEndpoint: true},
-		"tells nobody":                {TellsNobody: true},
+		"sends no origins":            {SendsNoOrigins: true},
 	}
 	for name, variant := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/fleet/resumer/origin_table.go
+++ b/fleet/resumer/origin_table.go
@@ -24,23 +24,23 @@
 	Until timekeeper.Millis
 }
 
-// Beginning describes a stream that begins at an endpoint.
-type Beginning struct {
+// StreamStart describes a stream that begins at an endpoint.
+type StreamStart struct {
 	Origin
 
 	Service  model.ServiceID
 	Endpoint model.EndpointID
 }
 
-// originEntry is an origin in the table. One that another gateway has told has no endpoint.
+// originEntry is an origin in the table. One that another gateway has sent has no endpoint.
 type originEntry struct {
-	Beginning
+	StreamStart
 
 	beganAt timekeeper.Millis
-	isTold  bool
+	isSent  bool
 }
 
-// OriginTable remembers which software versions began streams, here and at gateways that have told so. Its size is limited. It is
+// OriginTable remembers which software versions began streams, here and at gateways that have sent their origins. Its size is limited. It is
 // not safe for concurrent use.
 type OriginTable struct {
 	// Evicted is the number of origins that were forgotten early because the table was full.
@@ -49,7 +49,7 @@
 	entries map[StreamKey]*originEntry
 	// order holds the keys of entries, the oldest first. It may hold keys that are gone.
 	order      []StreamKey
-	untold     []StreamKey
+	unsent     []StreamKey
 	lastExpiry timekeeper.Millis
 }
 
@@ -58,14 +58,14 @@
 	return &OriginTable{entries: map[StreamKey]*originEntry{}}
 }
 
-// RecordBeginning records a stream that has begun at an endpoint of this gateway.
-func (t *OriginTable) RecordBeginning(b Beginning, now timekeeper.Millis) {
+// RecordStart records a stream that has begun at an endpoint of this gateway.
+func (t *OriginTable) RecordStart(b StreamStart, now timekeeper.Millis) {
 	e := t.merge(b.Origin, now)
 	e.Service, e.Endpoint, e.beganAt = b.Service, b.Endpoint, now
-	t.setUntold(e)
+	t.setUnsent(e)
 }
 
-// Merge records an origin that another gateway has told.
+// Merge records an origin that another gateway has sent.
 func (t *OriginTable) Merge(o Origin, now timekeeper.Millis) {
 	t.merge(o, now)
 }
@@ -85,7 +85,7 @@
 		t.makeRoom()
 		t.order = append(t.order, o.Key)
 	}
-	e = &originEntry{Beginning: Beginning{Origin: o}, isTold: true}
+	e = &originEntry{StreamStart: StreamStart{Origin: o}, isSent: true}
 	t.entries[o.Key] = e
 
 	return e
@@ -101,9 +101,9 @@
 	}
 }
 
-func (t *OriginTable) setUntold(e *originEntry) {
-	e.isTold = false
-	t.untold = append(t.untold, e.Key)
+func (t *OriginTable) setUnsent(e *originEntry) {
+	e.isSent = false
+	t.unsent = append(t.unsent, e.Key)
 }
 
 // Find returns the version that began a stream, empty if it is not certain. It returns false if nothing is known of the stream.
@@ -116,29 +116,29 @@
 	return e.Software, true
 }
 
-// Doubt makes the origins of the streams uncertain that have begun here at an endpoint since a time.
-func (t *OriginTable) Doubt(id model.EndpointID, since timekeeper.Millis) {
+// MarkUncertain makes the origins of the streams uncertain that have begun here at an endpoint since a time.
+func (t *OriginTable) MarkUncertain(id model.EndpointID, since timekeeper.Millis) {
 	for _, e := range t.entries {
 		if e.Endpoint == id && e.beganAt >= since && e.Software != "" {
 			e.Software = ""
-			t.setUntold(e)
+			t.setUnsent(e)
 		}
 	}
 }
 
-// TakeUntold returns the origins of streams that have begun here, of services for which isNeeded returns true, that have not been
+// TakeUnsent returns the origins of streams that have begun here, of services for which isNeeded returns true, that have not been
 // taken yet. Uncertain ones are always returned.
-func (t *OriginTable) TakeUntold(isNeeded func(model.ServiceID) bool, now timekeeper.Millis) []Origin {
+func (t *OriginTable) TakeUnsent(isNeeded func(model.ServiceID) bool, now timekeeper.Millis) []Origin {
 	var taken []Origin
-	t.untold = slices.DeleteFunc(t.untold, func(key StreamKey) bool {
+	t.unsent = slices.DeleteFunc(t.unsent, func(key StreamKey) bool {
 		e, ok := t.entries[key]
-		if !ok || e.isTold || e.Until <= now {
+		if !ok || e.isSent || e.Until <= now {
 			return true
 		}
 		if e.Software != "" && !isNeeded(e.Service) {
 			return false
 		}
-		e.isTold = true
+		e.isSent = true
 		taken = append(taken, e.Origin)
 
 		return true
@@ -147,11 +147,11 @@
 	return taken
 }
 
-// ReturnUntold returns origins that could not be told, so that they are taken again.
-func (t *OriginTable) ReturnUntold(origins []Origin) {
+// ReturnUnsent returns origins that could not be sent, so that they are taken again.
+func (t *OriginTable) ReturnUnsent(origins []Origin) {
 	for _, o := range origins {
-		if e, ok := t.entries[o.Key]; ok && e.isTold {
-			t.setUntold(e)
+		if e, ok := t.entries[o.Key]; ok && e.isSent {
+			t.setUnsent(e)
 		}
 	}
 }
@@ -169,7 +169,7 @@
 		return !ok
 	}
 	t.order = slices.DeleteFunc(slices.Clone(t.order), isGone)
-	t.untold = slices.DeleteFunc(t.untold, isGone)
+	t.unsent = slices.DeleteFunc(t.unsent, isGone)
 }
 
 // Count returns the number of origins.
--- a/fleet/resumer/origin_table_test.go
+++ b/fleet/resumer/origin_table_test.go
@@ -11,9 +11,9 @@
 
 func never(model.ServiceID) bool { return false }
 
-// beginning returns a stream that can be resumed for ten seconds.
-func beginning(key StreamKey, software model.SoftwareVersion, id model.EndpointID) Beginning {
-	return Beginning{Origin: Origin{Key: key, Software: software, Until: 10 * timekeeper.Second}, Service: "s", Endpoint: id}
+// streamStart returns a stream that can be resumed for ten seconds.
+func streamStart(key StreamKey, software model.SoftwareVersion, id model.EndpointID) StreamStart {
+	return StreamStart{Origin: Origin{Key: key, Software: software, Until: 10 * timekeeper.Second}, Service: "s", Endpoint: id}
 }
 
 func TestOriginsThatDifferAreUncertain(t *testing.T) {
@@ -27,13 +27,13 @@
 		{"two versions", []model.SoftwareVersion{"v1", "v2"}, ""},
 		{"two versions, then the first again", []model.SoftwareVersion{"v1", "v2", "v1"}, ""},
 		{"unknown", []model.SoftwareVersion{""}, ""},
-		{"told to be uncertain", []model.SoftwareVersion{"v1", ""}, ""},
+		{"sent as uncertain", []model.SoftwareVersion{"v1", ""}, ""},
 	}
 	for _, c := range cases {
 		table := NewOriginTable()
 		for n, software := range c.software {
 			if n == 0 {
-				table.RecordBeginning(beginning(1, software, "e"), 0)
+				table.RecordStart(streamStart(1, software, "e"), 0)
 			} else {
 				table.Merge(Origin{Key: 1, Software: software, Until: 5 * timekeeper.Second}, 1)
 			}
@@ -44,38 +44,38 @@
 	}
 }
 
-func TestOriginsAreToldOnlyWhereNeeded(t *testing.T) {
+func TestOriginsAreSentOnlyWhereNeeded(t *testing.T) {
 	table := NewOriginTable()
-	table.RecordBeginning(beginning(1, "v1", "e"), 0)
+	table.RecordStart(streamStart(1, "v1", "e"), 0)
 	table.Merge(Origin{Key: 2, Software: "v1", Until: timekeeper.Second}, 0)
-	if taken := table.TakeUntold(never, 1); len(taken) != 0 {
-		t.Fatalf("%d origins are told although nobody needs them", len(taken))
+	if taken := table.TakeUnsent(never, 1); len(taken) != 0 {
+		t.Fatalf("%d origins are sent although nobody needs them", len(taken))
 	}
 	for n := range 10 {
-		taken := table.TakeUntold(always, 1)
+		taken := table.TakeUnsent(always, 1)
 		if len(taken) != 1 || taken[0].Key != 1 {
-			t.Fatalf("attempt %d: told %+v, want the stream that began here", n, taken)
+			t.Fatalf("attempt %d: sent %+v, want the stream that began here", n, taken)
 		}
-		if again := table.TakeUntold(always, 1); len(again) != 0 {
-			t.Fatalf("attempt %d: %d origins are told twice", n, len(again))
+		if again := table.TakeUnsent(always, 1); len(again) != 0 {
+			t.Fatalf("attempt %d: %d origins are sent twice", n, len(again))
 		}
-		table.ReturnUntold(taken)
+		table.ReturnUnsent(taken)
 	}
-	if taken := table.TakeUntold(always, 10*timekeeper.Second); len(taken) != 0 {
-		t.Fatalf("%d origins are told of streams that nobody can resume any more", len(taken))
+	if taken := table.TakeUnsent(always, 10*timekeeper.Second); len(taken) != 0 {
+		t.Fatalf("%d origins are sent of streams that nobody can resume any more", len(taken))
 	}
 }
 
-func TestDoubtedOriginsAreToldAgain(t *testing.T) {
+func TestOriginsThatBecomeUncertainAreSentAgain(t *testing.T) {
 	table := NewOriginTable()
-	table.RecordBeginning(beginning(1, "v1", "e"), 100)
-	table.RecordBeginning(beginning(2, "v1", "e"), 200)
-	table.RecordBeginning(beginning(3, "v1", "other"), 200)
-	table.TakeUntold(always, 200)
-	table.Doubt("e", 150)
-	taken := table.TakeUntold(never, 200)
+	table.RecordStart(streamStart(1, "v1", "e"), 100)
+	table.RecordStart(streamStart(2, "v1", "e"), 200)
+	table.RecordStart(streamStart(3, "v1", "other"), 200)
+	table.TakeUnsent(always, 200)
+	table.MarkUncertain("e", 150)
+	taken := table.TakeUnsent(never, 200)
 	if len(taken) != 1 || taken[0].Key != 2 || taken[0].Software != "" {
-		t.Fatalf("told %+v, want the second stream as uncertain", taken)
+		t.Fatalf("sent %+v, want the second stream as uncertain", taken)
 	}
 	if software, _ := table.Find(1, 200); software != "v1" {
 		t.Fatalf("the stream that began before is of %q", software)
--- a/fleet/resumer/testimony.go
+++ b/fleet/resumer/report.go
@@ -1,13 +1,9 @@
 package resumer
 
-import (
-	"slices"
+import "cardamompulley/fleet/model"
 
-	"cardamompulley/fleet/model"
-)
-
-// Testimony is what a gateway knows of a stream that a caller resumes.
-type Testimony struct {
+// Report is what a gateway knows of a stream that a caller resumes.
+type Report struct {
 	// IsKnown is true if the gateway knows the origin of the stream; Software is then the version that began it, empty if that is
 	// not certain.
 	IsKnown  bool
@@ -22,17 +18,21 @@
 
 // Resolve returns the version at which a stream has to go on, from what gateways know of it, or false if that cannot be known.
 // unanswered is the number of gateways that were asked in vain: they may know newer versions than a list that is not fresh.
-func Resolve(testimonies []Testimony, unanswered int) (model.SoftwareVersion, bool) {
-	if software, isKnown := knownOrigin(testimonies); isKnown {
+func Resolve(reports []Report, unanswered int) (model.SoftwareVersion, bool) {
+	if software, isKnown := knownOrigin(reports); isKnown {
 		return software, software != ""
 	}
-	software, isSole := soleVersion(testimonies)
+	var seen []model.SoftwareVersion
+	for _, r := range reports {
+		seen = append(seen, r.Seen...)
+	}
+	software, isSole := SoleVersion(seen)
 	if !isSole {
 		return "", false
 	}
 	// A fresh list beside another gateway's whole history proves nothing: what came and left in between is in neither.
-	for _, t := range testimonies {
-		if t.IsComplete && (t.IsFresh || unanswered == 0) {
+	for _, r := range reports {
+		if r.IsComplete && (r.IsFresh || unanswered == 0) {
 			return software, true
 		}
 	}
@@ -40,15 +40,15 @@
 	return "", false
 }
 
-// knownOrigin returns the version that began the stream by all testimonies that know it, empty if they differ, or false if none
+// knownOrigin returns the version that began the stream by all reports that know it, empty if they differ, or false if none
 // knows it.
-func knownOrigin(testimonies []Testimony) (software model.SoftwareVersion, isKnown bool) {
-	for _, t := range testimonies {
+func knownOrigin(reports []Report) (software model.SoftwareVersion, isKnown bool) {
+	for _, r := range reports {
 		switch {
-		case !t.IsKnown:
+		case !r.IsKnown:
 		case !isKnown:
-			software, isKnown = t.Software, true
-		case t.Software != software:
+			software, isKnown = r.Software, true
+		case r.Software != software:
 			software = ""
 		}
 	}
@@ -56,17 +56,16 @@
 	return software, isKnown
 }
 
-// soleVersion returns the version that all testimonies have seen, or false if there are several or unknown ones.
-func soleVersion(testimonies []Testimony) (model.SoftwareVersion, bool) {
-	var seen []model.SoftwareVersion
-	for _, t := range testimonies {
-		seen = append(seen, t.Seen...)
-	}
-	slices.Sort(seen)
-	seen = slices.Compact(seen)
-	if len(seen) != 1 || seen[0] == "" {
+// SoleVersion returns the only version among some, which may repeat. It returns false if there are several, none, or an unknown one.
+func SoleVersion(versions []model.SoftwareVersion) (model.SoftwareVersion, bool) {
+	if len(versions) == 0 || versions[0] == "" {
 		return "", false
 	}
+	for _, v := range versions {
+		if v != versions[0] {
+			return "", false
+		}
+	}
 
-	return seen[0], true
+	return versions[0], true
 }
--- a/fleet/resumer/version_history.go
+++ b/fleet/resumer/version_history.go
@@ -90,9 +90,9 @@
 
 // IsSole reports whether one known version alone can have begun streams of a service since a time.
 func (h *VersionHistory) IsSole(service model.ServiceID, since timekeeper.Millis) bool {
-	seen := h.Seen(service, since)
+	_, isSole := SoleVersion(h.Seen(service, since))
 
-	return h.IsComplete(since) && len(seen) == 1 && seen[0] != ""
+	return isSole && h.IsComplete(since)
 }
 
 // Expire forgets the versions that left before a time.
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -41,12 +41,12 @@
 	IsShuttingDown func() bool
 	// AskOrigin asks other gateways what they know of a stream, and returns the number of those that did not answer. Asking ends
 	// with the context.
-	AskOrigin func(context.Context, OriginQuestion) ([]resumer.Testimony, int)
+	AskOrigin func(context.Context, OriginQuestion) ([]resumer.Report, int)
 	// RefreshEndpoints brings the list of endpoints up to date with the store. It returns false if the store does not answer before
 	// the context ends.
 	RefreshEndpoints func(context.Context) bool
-	// TellOrigins makes the gateway tell others the untold origins soon.
-	TellOrigins func()
+	// SendOrigins makes the gateway send the unsent origins to others soon.
+	SendOrigins func()
 	// StoreSilence returns the time since the store last answered this gateway or another one.
 	StoreSilence func() timekeeper.Millis
 	// StateReady is closed once the process has its first configuration and list of endpoints.
@@ -66,11 +66,11 @@
 	crashChecks map[model.EndpointID]*crashCheck
 	origins     *resumer.OriginTable
 	versions    *resumer.VersionHistory
-	// longestWaits holds the longest time that a caller of each service has been ready to wait for a resumable stream.
-	longestWaits map[model.ServiceID]timekeeper.Millis
-	maxSilence   timekeeper.Millis
-	partOwners   map[model.ServiceID]*resumer.PartOwners
-	cacheLists   *cacheLists
+	// longestTimeouts holds the longest time that a caller of each service has been ready to wait for a resumable stream.
+	longestTimeouts map[model.ServiceID]timekeeper.Millis
+	maxSilence      timekeeper.Millis
+	partOwners      map[model.ServiceID]*resumer.PartOwners
+	cacheLists      *cacheLists
 }
 
 // NewForwarder returns a forwarder that sends requests over the connections of a pool. Its exported fields
@@ -83,7 +83,7 @@
 		CurrentView:      func() *cataloguer.View { return nil },
 		IsShuttingDown:   func() bool { return false },
 		AskOrigin:        noOrigins,
-		TellOrigins:      func() {},
+		SendOrigins:      func() {},
 		RefreshEndpoints: func(context.Context) bool { return false },
 		StoreSilence:     func() timekeeper.Millis { return 0 },
 		StateReady:       make(chan struct{}),
@@ -98,7 +98,7 @@
 		crashChecks:      map[model.EndpointID]*crashCheck{},
 		origins:          resumer.NewOriginTable(),
 		versions:         resumer.NewVersionHistory(l.Linger, clock.Now()),
-		longestWaits:     map[model.ServiceID]timekeeper.Millis{},
+		longestTimeouts:  map[model.ServiceID]timekeeper.Millis{},
 		maxSilence:       l.MaxSilence,
 		partOwners:       map[model.ServiceID]*resumer.PartOwners{},
 		cacheLists:       newCacheLists(p, clock),
--- a/router/internal/forwarder/origin.go
+++ b/router/internal/forwarder/origin.go
@@ -45,7 +45,7 @@
 func (f *Forwarder) streamWindow(id model.ServiceID, r *cataloguer.Route) timekeeper.Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	window := max(f.longestWaits[id], minStreamWindow)
+	window := max(f.longestTimeouts[id], minStreamWindow)
 	if r != nil {
 		window = max(window, r.Timeout)
 	}
@@ -53,39 +53,39 @@
 	return min(window, maxStreamWindow)
 }
 
-// recordWait records how long a caller of a service is ready to wait for a resumable stream.
-func (f *Forwarder) recordWait(id model.ServiceID, wait timekeeper.Millis) {
+// recordCallerTimeout records how long a caller of a service is ready to wait for a resumable stream.
+func (f *Forwarder) recordCallerTimeout(id model.ServiceID, wait timekeeper.Millis) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.longestWaits[id] = max(f.longestWaits[id], min(wait, maxStreamWindow))
+	f.longestTimeouts[id] = max(f.longestTimeouts[id], min(wait, maxStreamWindow))
 }
 
-// recordBeginning records which software version began a stream and makes the gateway tell others if they cannot know it.
-func (f *Forwarder) recordBeginning(b resumer.Beginning) {
+// recordStart records which software version began a stream and makes the gateway send it to others if they cannot know it.
+func (f *Forwarder) recordStart(b resumer.StreamStart) {
 	isSilent := f.StoreSilence() > f.maxSilence
 	f.mu.Lock()
-	f.origins.RecordBeginning(b, f.clock.Now())
+	f.origins.RecordStart(b, f.clock.Now())
 	isNeeded := isSilent || !f.isSole(b.Service)
 	f.mu.Unlock()
 	if isNeeded {
-		f.TellOrigins()
+		f.SendOrigins()
 	}
 }
 
 // isSole reports whether one known version alone can have begun the streams of a service that callers still resume. f.mu must be
 // held.
 func (f *Forwarder) isSole(id model.ServiceID) bool {
-	window := min(max(f.longestWaits[id], minStreamWindow), maxStreamWindow)
+	window := min(max(f.longestTimeouts[id], minStreamWindow), maxStreamWindow)
 
 	return f.versions.IsSole(id, f.clock.Now()-window)
 }
 
-// Testify returns what this gateway knows of a stream.
-func (f *Forwarder) Testify(q OriginQuestion) resumer.Testimony {
+// ReportOrigin returns what this gateway knows of a stream.
+func (f *Forwarder) ReportOrigin(q OriginQuestion) resumer.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	t := resumer.Testimony{
+	t := resumer.Report{
 		Seen:       f.versions.Seen(q.Service, now-q.Window),
 		IsComplete: f.versions.IsComplete(now - q.Window),
 	}
@@ -96,7 +96,7 @@
 	return t
 }
 
-// MergeOrigins takes in the origins of streams that another gateway has told.
+// MergeOrigins takes in the origins of streams that another gateway has sent.
 func (f *Forwarder) MergeOrigins(origins []resumer.Origin) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -105,39 +105,39 @@
 	}
 }
 
-// TakeUntoldOrigins returns the origins that other gateways have to be told: those of services of which several versions, or
+// TakeUnsentOrigins returns the origins that other gateways need: those of services of which several versions, or
 // unknown ones, may have begun streams; all, if others may know newer versions because the store is silent here.
-func (f *Forwarder) TakeUntoldOrigins() []resumer.Origin {
+func (f *Forwarder) TakeUnsentOrigins() []resumer.Origin {
 	isSilent := f.StoreSilence() > f.maxSilence
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	return f.origins.TakeUntold(func(id model.ServiceID) bool { return isSilent || !f.isSole(id) }, f.clock.Now())
+	return f.origins.TakeUnsent(func(id model.ServiceID) bool { return isSilent || !f.isSole(id) }, f.clock.Now())
 }
 
-// ReturnUntoldOrigins takes back origins that could not be told.
-func (f *Forwarder) ReturnUntoldOrigins(origins []resumer.Origin) {
+// ReturnUnsentOrigins takes back origins that could not be sent.
+func (f *Forwarder) ReturnUnsentOrigins(origins []resumer.Origin) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.origins.ReturnUntold(origins)
+	f.origins.ReturnUnsent(origins)
 }
 
 // UpdateVersions calls update with the history of software versions while it holds the forwarder's lock, and makes the gateway
-// tell others what they may need to know then.
+// send others what they may need then.
 func (f *Forwarder) UpdateVersions(update func(*resumer.VersionHistory)) {
 	f.mu.Lock()
 	update(f.versions)
 	f.mu.Unlock()
-	f.TellOrigins()
+	f.SendOrigins()
 }
 
-// DoubtOrigins makes the origins of the streams uncertain that have begun at an endpoint since a time: the endpoint has started
+// MarkOriginsUncertain makes the origins of the streams uncertain that have begun at an endpoint since a time: the endpoint has started
 // again with another software version.
-func (f *Forwarder) DoubtOrigins(id model.EndpointID, since timekeeper.Millis) {
+func (f *Forwarder) MarkOriginsUncertain(id model.EndpointID, since timekeeper.Millis) {
 	f.mu.Lock()
-	f.origins.Doubt(id, since)
+	f.origins.MarkUncertain(id, since)
 	f.mu.Unlock()
-	f.TellOrigins()
+	f.SendOrigins()
 }
 
 // ExpireOrigins forgets streams that cannot be resumed any more, and versions that no such stream can have begun at.
@@ -159,6 +159,6 @@
 }
 
 // noOrigins is what a gateway without others learns from them.
-func noOrigins(context.Context, OriginQuestion) ([]resumer.Testimony, int) {
+func noOrigins(context.Context, OriginQuestion) ([]resumer.Report, int) {
 	return nil, 0
 }
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -107,7 +107,7 @@
 	}
 
 	if p.route.IsResumable {
-		p.forwarder.recordWait(p.service, p.callerTimeLeft())
+		p.forwarder.recordCallerTimeout(p.service, p.callerTimeLeft())
 	}
 	p.suspects = p.findSuspects()
 	p.recordPartOwner()
--- a/router/internal/forwarder/resume.go
+++ b/router/internal/forwarder/resume.go
@@ -19,7 +19,7 @@
 	if !p.route.IsResumable {
 		return
 	}
-	p.forwarder.recordBeginning(resumer.Beginning{
+	p.forwarder.recordStart(resumer.StreamStart{
 		Origin: resumer.Origin{
 			Key:      resumer.NewStreamKey(p.metadata.AttemptID, p.account.ID, p.service),
 			Software: p.stream.software,
@@ -48,20 +48,20 @@
 // cannot be known.
 func (p *proxiedRequest) findOrigin() *model.Refusal {
 	q := OriginQuestion{Service: p.service, Window: p.forwarder.streamWindow(p.service, p.route)}
-	testimonies := []resumer.Testimony{}
+	reports := []resumer.Report{}
 	unanswered := 0
 	if p.metadata.Resumes != "" {
 		q.Key = resumer.NewStreamKey(p.metadata.Resumes, p.account.ID, p.service)
 	}
-	own := p.forwarder.Testify(q)
+	own := p.forwarder.ReportOrigin(q)
 	if !own.IsKnown {
-		testimonies, unanswered = p.forwarder.AskOrigin(p.ctx, q)
+		reports, unanswered = p.forwarder.AskOrigin(p.ctx, q)
 	}
-	testimonies = append(testimonies, own)
-	software, ok := resumer.Resolve(testimonies, unanswered)
+	reports = append(reports, own)
+	software, ok := resumer.Resolve(reports, unanswered)
 	if !ok && unanswered > 0 {
-		testimonies = append(testimonies, p.freshTestimony(q))
-		software, ok = resumer.Resolve(testimonies, unanswered)
+		reports = append(reports, p.freshReport(q))
+		software, ok = resumer.Resolve(reports, unanswered)
 	}
 	isAtEndpoints := false
 	if !ok && !own.IsKnown {
@@ -69,7 +69,7 @@
 		ok = isAtEndpoints
 	}
 	p.stream.software = software
-	p.logResume(testimonies, unanswered, isAtEndpoints)
+	p.logResume(reports, unanswered, isAtEndpoints)
 	if ok {
 		resumesServed.Inc()
 
@@ -81,19 +81,19 @@
 		WithRetryAfter(p.afterDeadline())
 }
 
-// freshTestimony returns what this gateway knows after another look at the store, which shows all versions that any gateway knows.
-func (p *proxiedRequest) freshTestimony(q OriginQuestion) resumer.Testimony {
+// freshReport returns what this gateway knows after another look at the store, which shows all versions that any gateway knows.
+func (p *proxiedRequest) freshReport(q OriginQuestion) resumer.Report {
 	isFresh := p.forwarder.RefreshEndpoints(p.ctx)
-	t := p.forwarder.Testify(q)
+	t := p.forwarder.ReportOrigin(q)
 	t.IsFresh = isFresh
 
 	return t
 }
 
 // logResume logs what is known of a stream that a caller resumes.
-func (p *proxiedRequest) logResume(testimonies []resumer.Testimony, unanswered int, isAtEndpoints bool) {
+func (p *proxiedRequest) logResume(reports []resumer.Report, unanswered int, isAtEndpoints bool) {
 	known, complete := 0, 0
-	for _, t := range testimonies {
+	for _, t := range reports {
 		if t.IsKnown {
 			known++
 		}
@@ -103,6 +103,6 @@
 	}
 	p.forwarder.log.Write(logger.EventStreamOriginFound, append(p.logFields(),
 		logger.String("origin", p.stream.software), logger.Int("known", known), logger.Int("complete", complete),
-		logger.Int("asked", len(testimonies)-1+unanswered), logger.Int("unanswered", unanswered),
+		logger.Int("asked", len(reports)-1+unanswered), logger.Int("unanswered", unanswered),
 		logger.Bool("at-endpoints", isAtEndpoints))...)
 }
--- a/router/internal/forwarder/resume_endpoint.go
+++ b/router/internal/forwarder/resume_endpoint.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"maps"
 	"sync"
 
 	"github.com/sourcegraph/conc"
@@ -60,43 +59,27 @@
 	first := min(askedFirst, len(likely))
 	found := p.askHolders(likely[:first], part)
 	if len(found.generated) == 0 {
-		found.add(p.askHolders(likely[first:], part))
+		others := p.askHolders(likely[first:], part)
+		found.generated = others.generated
+		found.read = append(found.read, others.read...)
 	}
 	if len(found.generated) == 0 {
-		return soleVersion(found.read)
+		return resumer.SoleVersion(found.read)
 	}
 
-	return soleVersion(found.generated)
+	return resumer.SoleVersion(found.generated)
 }
 
 // holderVersions holds the software versions of the endpoints that have generated tokens after a prompt part, and of those that have
 // at least read it.
 type holderVersions struct {
-	generated, read map[model.SoftwareVersion]bool
-}
-
-func newHolderVersions() holderVersions {
-	return holderVersions{generated: map[model.SoftwareVersion]bool{}, read: map[model.SoftwareVersion]bool{}}
-}
-
-func (h *holderVersions) add(other holderVersions) {
-	maps.Copy(h.generated, other.generated)
-	maps.Copy(h.read, other.read)
-}
-
-// soleVersion returns the only version of a set, or false if there are several, or none that is known.
-func soleVersion(versions map[model.SoftwareVersion]bool) (model.SoftwareVersion, bool) {
-	for software := range versions {
-		return software, len(versions) == 1 && software != ""
-	}
-
-	return "", false
+	generated, read []model.SoftwareVersion
 }
 
 // askHolders asks endpoints how much they keep of a part. Tokens that a request has generated count to the last part of its prompt.
 func (p *proxiedRequest) askHolders(endpoints []*cataloguer.Endpoint, part model.PromptPart) holderVersions {
 	var mu sync.Mutex
-	found := newHolderVersions()
+	var found holderVersions
 	key := cachedPartKey{id: part.ID, model: p.metadata.Model}
 	var w conc.WaitGroup
 	for _, e := range endpoints {
@@ -108,10 +91,10 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if kept > part.Tokens {
-				found.generated[e.Software] = true
+				found.generated = append(found.generated, e.Software)
 			}
 			if kept > 0 {
-				found.read[e.Software] = true
+				found.read = append(found.read, e.Software)
 			}
 		})
 	}
--- a/router/internal/gateway/decode.go
+++ b/router/internal/gateway/decode.go
@@ -142,7 +142,7 @@
 	}
 	e.FirstSeen = g.clock.Now()
 	if previous.endpoint != nil {
-		g.doubtOrigins(&e, previous.endpoint)
+		g.markOriginsUncertain(&e, previous.endpoint)
 		e.FirstSeen = previous.endpoint.FirstSeen
 	}
 	if e.ColdRemaining > 0 {
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -104,7 +104,7 @@
 	g.forwarder.StoreSilence = g.storeSilence
 	g.forwarder.AskOrigin = g.peers.askOrigin
 	g.forwarder.RefreshEndpoints = g.refreshEndpoints
-	g.forwarder.TellOrigins = g.peers.originTeller.wake
+	g.forwarder.SendOrigins = g.peers.originSender.wake
 	g.forwarder.IsShuttingDown = g.isShuttingDown.Load
 
 	return g
@@ -124,7 +124,7 @@
 	var w conc.WaitGroup
 	w.Go(func() { g.followStore(ctx) })
 	w.Go(func() { g.peers.run(ctx) })
-	w.Go(func() { g.peers.tellOrigins(ctx) })
+	w.Go(func() { g.peers.runOriginSender(ctx) })
 	w.Go(func() { g.maintain(ctx) })
 	w.Go(func() { g.applyDueChanges(ctx) })
 	w.Wait()
@@ -168,7 +168,7 @@
 		g.peers.removeStale()
 		g.forwarder.ExpireLosses()
 		g.forwarder.ExpireOrigins()
-		g.peers.originTeller.wake()
+		g.peers.originSender.wake()
 		g.pool.Prune(isListed)
 		var due []*cataloguer.Endpoint
 		var outliers, recovered []model.EndpointID
--- a/router/internal/gateway/origin_exchange.go
+++ b/router/internal/gateway/origin_exchange.go
@@ -21,31 +21,31 @@
 )
 
 const (
-	// originHolders is the number of other gateways that are told the origin of a stream.
+	// originHolders is the number of other gateways to which the origin of a stream is sent.
 	originHolders = 2
 	// askedGateways is the number of other gateways that are asked for the origin of a stream. It is larger, because two gateways
 	// may take different ones to be reachable.
 	askedGateways = 4
 	// originTimeout bounds a call about origins. A caller waits for the answers.
 	originTimeout = 250 * timekeeper.Millis(1)
-	// maxToldOrigins is the maximum number of origins in one message, maxSeenVersions that of versions.
-	maxToldOrigins  = 1000
+	// maxSentOrigins is the maximum number of origins in one message, maxSeenVersions that of versions.
+	maxSentOrigins  = 1000
 	maxSeenVersions = 100
 	// maxSoftwareBytes is the length beyond which a version that another gateway names is not believed.
 	maxSoftwareBytes = 256
 )
 
-// originTeller wakes the part of a gateway that tells others the origins of streams.
-type originTeller struct {
+// originSender wakes the part of a gateway that sends the origins of streams to others.
+type originSender struct {
 	wakeups chan struct{}
 }
 
-func newOriginTeller() originTeller {
-	return originTeller{wakeups: make(chan struct{}, 1)}
+func newOriginSender() originSender {
+	return originSender{wakeups: make(chan struct{}, 1)}
 }
 
-// wake makes the gateway look for untold origins soon.
-func (t originTeller) wake() {
+// wake makes the gateway look for unsent origins soon.
+func (t originSender) wake() {
 	select {
 	case t.wakeups <- struct{}{}:
 	default:
@@ -68,25 +68,25 @@
 	return addresses[:min(count, len(addresses))]
 }
 
-// tellOrigins tells other gateways the origins of streams that they need to know, until the context ends.
-func (p *peers) tellOrigins(ctx context.Context) {
+// runOriginSender sends other gateways the origins of streams that they need to know, until the context ends.
+func (p *peers) runOriginSender(ctx context.Context) {
 	var w conc.WaitGroup
 	defer w.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.originTeller.wakeups:
+		case <-p.originSender.wakeups:
 		}
-		for address, origins := range p.groupByHolder(p.gateway.forwarder.TakeUntoldOrigins()) {
-			for batch := range slices.Chunk(origins, maxToldOrigins) {
+		for address, origins := range p.groupByHolder(p.gateway.forwarder.TakeUnsentOrigins()) {
+			for batch := range slices.Chunk(origins, maxSentOrigins) {
 				w.Go(func() { p.sendOrigins(ctx, address, batch) })
 			}
 		}
 	}
 }
 
-// groupByHolder returns the origins that each holder is to be told. Those without a reachable holder are told later.
+// groupByHolder returns the origins to send to each holder. Those without a reachable holder are sent later.
 func (p *peers) groupByHolder(origins []resumer.Origin) map[string][]resumer.Origin {
 	byHolder := map[string][]resumer.Origin{}
 	var later []resumer.Origin
@@ -99,12 +99,12 @@
 			byHolder[address] = append(byHolder[address], o)
 		}
 	}
-	p.gateway.forwarder.ReturnUntoldOrigins(later)
+	p.gateway.forwarder.ReturnUnsentOrigins(later)
 
 	return byHolder
 }
 
-// sendOrigins tells a gateway origins. If it does not answer, others are told, or the same one later.
+// sendOrigins sends origins to a gateway. If it does not answer, they are sent to others, or to the same one later.
 func (p *peers) sendOrigins(ctx context.Context, address string, origins []resumer.Origin) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
 	defer cancel()
@@ -116,9 +116,9 @@
 		})
 	}
 	if _, err := p.clientFor(address).RecordOrigins(ctx, request); err != nil {
-		p.gateway.forwarder.ReturnUntoldOrigins(origins)
+		p.gateway.forwarder.ReturnUnsentOrigins(origins)
 		if p.markUnreachable(address, err) {
-			p.originTeller.wake()
+			p.originSender.wake()
 		}
 	}
 }
@@ -141,11 +141,11 @@
 }
 
 // askOrigin asks other gateways what they know of a stream, and returns the number of those that did not answer.
-func (p *peers) askOrigin(ctx context.Context, q forwarder.OriginQuestion) ([]resumer.Testimony, int) {
+func (p *peers) askOrigin(ctx context.Context, q forwarder.OriginQuestion) ([]resumer.Report, int) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
 	defer cancel()
 	var mu sync.Mutex
-	var testimonies []resumer.Testimony
+	var reports []resumer.Report
 	unanswered := p.unreachableCount()
 	var w conc.WaitGroup
 	for _, address := range p.holders(q.Key, askedGateways) {
@@ -155,7 +155,7 @@
 			defer mu.Unlock()
 			switch {
 			case err == nil:
-				testimonies = append(testimonies, t)
+				reports = append(reports, t)
 				if t.IsKnown {
 					cancel()
 				}
@@ -167,17 +167,17 @@
 	}
 	w.Wait()
 
-	return testimonies, unanswered
+	return reports, unanswered
 }
 
-func (p *peers) askGateway(ctx context.Context, address string, q forwarder.OriginQuestion) (resumer.Testimony, error) {
+func (p *peers) askGateway(ctx context.Context, address string, q forwarder.OriginQuestion) (resumer.Report, error) {
 	r, err := p.clientFor(address).FindOrigin(ctx, &messenger.FindOriginRequest{
 		Key: uint64(q.Key), Service: string(q.Service), WindowMs: int64(q.Window),
 	})
 	if err != nil {
-		return resumer.Testimony{}, err
+		return resumer.Report{}, err
 	}
-	t := resumer.Testimony{
+	t := resumer.Report{
 		IsKnown: r.Known, Software: model.SoftwareVersion(r.Software), IsComplete: r.Complete,
 	}
 	for _, software := range r.Seen[:min(len(r.Seen), maxSeenVersions)] {
@@ -189,7 +189,7 @@
 
 // FindOrigin implements the RPC FindOrigin. It never returns an error.
 func (p *peers) FindOrigin(_ context.Context, r *messenger.FindOriginRequest) (*messenger.FindOriginResponse, error) {
-	t := p.gateway.forwarder.Testify(forwarder.OriginQuestion{
+	t := p.gateway.forwarder.ReportOrigin(forwarder.OriginQuestion{
 		Key: resumer.StreamKey(r.Key), Service: model.ServiceID(r.Service), Window: timekeeper.Millis(r.WindowMs),
 	})
 	response := &messenger.FindOriginResponse{
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -60,8 +60,8 @@
 	// isCopying is true while an exchange that asks for copies of ranges is in progress.
 	isCopying atomic.Bool
 	budget    *exchanger.ByteBudget
-	// originTeller wakes the part that tells other gateways the origins of streams.
-	originTeller originTeller
+	// originSender wakes the part that sends the origins of streams to other gateways.
+	originSender originSender
 	// chargedBytes is the part of the control traffic that the budget has been charged for.
 	chargedBytes int64
 }
@@ -85,7 +85,7 @@
 		byAddress:    map[string]*peer{},
 		selector:     newPeerSelector(),
 		clients:      map[string]messengerconnect.GatewayClient{},
-		originTeller: newOriginTeller(),
+		originSender: newOriginSender(),
 		budget:       exchanger.NewByteBudget(gossipBytesPerSecond, gossipBurstBytes, g.clock.Now()),
 	}
 	p.addPeers(g.settings.Seeds)
--- a/router/internal/gateway/software_history.go
+++ b/router/internal/gateway/software_history.go
@@ -82,14 +82,14 @@
 	return endpoints
 }
 
-// doubtOrigins makes the origins of recent streams uncertain if their endpoint has started again with another software version:
+// markOriginsUncertain makes the origins of recent streams uncertain if their endpoint has started again with another software version:
 // which of the two began them is not known. g.mu must be held.
-func (g *Gateway) doubtOrigins(e, previous *cataloguer.Endpoint) {
+func (g *Gateway) markOriginsUncertain(e, previous *cataloguer.Endpoint) {
 	if e.Software == previous.Software {
 		return
 	}
 	since := timekeeper.Millis(g.endpointsKnownAt.Load()) - outageHeartbeats*g.settings.HeartbeatInterval
-	g.forwarder.DoubtOrigins(e.ID, since)
+	g.forwarder.MarkOriginsUncertain(e.ID, since)
 }
 
 // readHistory learns from the changes of the store which software versions have served before this process, if the store still holds
--- a/router/internal/gateway/software_history_test.go
+++ b/router/internal/gateway/software_history_test.go
@@ -56,9 +56,9 @@
 			s.PeerListen, s.StoreAddress = "127.0.0.1:1", strings.TrimPrefix(store.URL, "http://")
 			g := NewGateway(s, timekeeper.NewSystemClock(), logger.NewDiscard())
 			g.readHistory(t.Context(), replicator.Position{Era: c.era, Revision: 9})
-			got := g.forwarder.Testify(forwarder.OriginQuestion{Service: "s", Window: timekeeper.Minute})
+			got := g.forwarder.ReportOrigin(forwarder.OriginQuestion{Service: "s", Window: timekeeper.Minute})
 			if got.IsComplete != c.isComplete || c.isComplete != (len(got.Seen) == 1 && got.Seen[0] == model.SoftwareVersion("v1")) {
-				t.Errorf("testimony %+v, want complete: %v", got, c.isComplete)
+				t.Errorf("report %+v, want complete: %v", got, c.isComplete)
 			}
 		})
 	}
@@ -77,7 +77,7 @@
 	g.updateReplica("changes", g.endpointReplica, func(now timekeeper.Millis) bool {
 		return g.endpointReplica.Apply([]replicator.Item{gone}, replicator.Position{Revision: 6}, now, now)
 	})
-	seen := g.forwarder.Testify(forwarder.OriginQuestion{Service: "s", Window: timekeeper.Minute}).Seen
+	seen := g.forwarder.ReportOrigin(forwarder.OriginQuestion{Service: "s", Window: timekeeper.Minute}).Seen
 	if len(seen) != 1 || seen[0] != imitator.DefaultSoftware {
 		t.Errorf("versions %v, want the one that was listed", seen)
 	}
