Names of what endpoints ask for: a backoff in place of a rest, obstacles in the order of the look

Obstacles were listed in another order than they are looked for, and whether an endpoint had left was asked in two steps.

--- a/experimenter/internal/launcher/gateway_notice_test.go
+++ b/experimenter/internal/launcher/gateway_notice_test.go
@@ -16,10 +16,10 @@
 const (
 	// leaveTime is how long after an answer that says so a gateway may use an endpoint that leaves (the default of drain-ms).
 	leaveTime = 2 * time.Second
-	// restDelay is how long after a rest was asked for requests still may arrive, and lateInRest how many may arrive after that
+	// backoffDelay is how long after a backoff was asked for requests still may arrive, and lateInBackoff how many may arrive after that
 	// from each gateway.
-	restDelay  = 500 * time.Millisecond
-	lateInRest = 2
+	backoffDelay  = 500 * time.Millisecond
+	lateInBackoff = 2
 )
 
 // Guards against a gateway that goes on sending requests to an endpoint that has said that it leaves, whatever the store says.
@@ -69,9 +69,9 @@
 	}
 }
 
-// Guards against a gateway that sends requests to an endpoint that has asked it for a rest.
-func TestGatewaysLetEndpointsRest(t *testing.T) {
-	const perSecond, duration, rest = 60, 8 * time.Second, 3 * time.Second
+// Guards against a gateway that sends requests to an endpoint that has asked it for a backoff.
+func TestGatewaysBackOffAsEndpointsAsk(t *testing.T) {
+	const perSecond, duration, backoff = 60, 8 * time.Second, 3 * time.Second
 	for _, gateways := range []int{1, 3} {
 		t.Run(fmt.Sprintf("%d gateways", gateways), func(t *testing.T) {
 			t.Parallel()
@@ -79,21 +79,21 @@
 			// Gateways that learn of each other settle later.
 			time.Sleep(time.Second)
 			waitForRetryBudget()
-			must(t, f.SetEndpointFaults("plain-1", `{"full": true, "rest": 3}`))
+			must(t, f.SetEndpointFaults("plain-1", `{"full": true, "backoff": 3}`))
 			ctx, cancel := context.WithTimeout(t.Context(), duration)
 			defer cancel()
 			served, refused := sendSteadily(ctx, f, perSecond, newLookup)
 			rejections, err := f.Rejections("plain-1")
 			must(t, err)
-			if late := mostInRest(rejections, rest); late > lateInRest*gateways || len(rejections) == 0 {
-				t.Errorf("%d of %d requests arrived in a rest, want %d at most", late, len(rejections), lateInRest*gateways)
+			if late := mostInBackoff(rejections, backoff); late > lateInBackoff*gateways || len(rejections) == 0 {
+				t.Errorf("%d of %d requests arrived in a backoff, want %d at most", late, len(rejections), lateInBackoff*gateways)
 			}
 			if refused > 0 || served == 0 {
 				t.Errorf("%d requests were served, %d refused", served, refused)
 			}
 			must(t, f.SetEndpointFaults("plain-1", `{}`))
 			from := time.Now()
-			waitFor(t, "the endpoint that has rested gets requests", 2*rest, func() bool {
+			waitFor(t, "the endpoint gets requests after its backoff", 2*backoff, func() bool {
 				newLookup(f.Gateways[0]).send(t.Context())
 
 				return len(arrivalsAfter(t, f, "plain-1", from)) > 0
@@ -102,13 +102,13 @@
 	}
 }
 
-// mostInRest returns the largest number of arrivals between restDelay after one of them and the end of the rest that it asked for.
-func mostInRest(arrivals []time.Time, rest time.Duration) int {
+// mostInBackoff returns the largest number of arrivals between backoffDelay after one of them and the end of the backoff that it asked for.
+func mostInBackoff(arrivals []time.Time, backoff time.Duration) int {
 	most := 0
 	for _, asked := range arrivals {
 		count := 0
 		for _, at := range arrivals {
-			if at.After(asked.Add(restDelay)) && at.Before(asked.Add(rest)) {
+			if at.After(asked.Add(backoffDelay)) && at.Before(asked.Add(backoff)) {
 				count++
 			}
 		}
@@ -118,13 +118,13 @@
 	return most
 }
 
-// Guards against callers that are all told to come back at the same moment, or before the rest is over, or that are made to wait.
-func TestCallersComeBackInTurnWhenAllEndpointsRest(t *testing.T) {
-	const callers, rest = 40, 2 * time.Second
+// Guards against callers that are all told to come back at the same moment, or before the backoff is over, or that are made to wait.
+func TestCallersComeBackInTurnAfterBackoff(t *testing.T) {
+	const callers, backoff = 40, 2 * time.Second
 	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways = 1 })
 	waitForRetryBudget()
 	for _, id := range []string{"plain-1", "plain-2"} {
-		must(t, f.SetEndpointFaults(model.EndpointID(id), `{"full": true, "rest": 2}`))
+		must(t, f.SetEndpointFaults(model.EndpointID(id), `{"full": true, "backoff": 2}`))
 	}
 	newLookup(f.Gateways[0]).send(t.Context())
 	newLookup(f.Gateways[0]).send(t.Context())
@@ -144,7 +144,7 @@
 
 				return
 			}
-			if waited := time.Since(sentAt); waited > restDelay {
+			if waited := time.Since(sentAt); waited > backoffDelay {
 				t.Errorf("a caller that cannot be served was kept for %v", waited)
 			}
 			returns = append(returns, time.Now().Add(time.Duration(seconds*float64(time.Second))))
@@ -153,8 +153,8 @@
 	w.Wait()
 	distinct := map[int64]bool{}
 	for _, at := range returns {
-		if at.Before(asked.Add(rest - restDelay)) {
-			t.Errorf("a caller comes back %v after the rest was asked for", at.Sub(asked))
+		if at.Before(asked.Add(backoff - backoffDelay)) {
+			t.Errorf("a caller comes back %v after the backoff was asked for", at.Sub(asked))
 		}
 		distinct[at.UnixMilli()/10] = true
 	}
@@ -163,7 +163,7 @@
 	}
 	rejections, err := f.Rejections("plain-1")
 	must(t, err)
-	if late := mostInRest(rejections, rest); late > lateInRest {
-		t.Errorf("%d requests arrived in a rest", late)
+	if late := mostInBackoff(rejections, backoff); late > lateInBackoff {
+		t.Errorf("%d requests arrived in a backoff", late)
 	}
 }
--- a/experimenter/internal/prover/gateway_notice.go
+++ b/experimenter/internal/prover/gateway_notice.go
@@ -12,31 +12,31 @@
 	// which it does so as a last resort.
 	leaveTime  = 2 * timekeeper.Second
 	leaveGrace = timekeeper.Second
-	// restLearnTime is how long after a rest was asked for requests still may arrive, maxArrivalsInRest how many may later.
-	restLearnTime     = 500 * timekeeper.Millis(1)
-	maxArrivalsInRest = 2
+	// backoffLearnTime is how long after a backoff was asked for requests still may arrive, maxArrivalsInBackoff how many may later.
+	backoffLearnTime     = 500 * timekeeper.Millis(1)
+	maxArrivalsInBackoff = 2
 )
 
-// askedRest is a rest that an endpoint has asked a gateway for.
-type askedRest struct {
+// askedBackoff is a backoff that an endpoint has asked a gateway for.
+type askedBackoff struct {
 	at, until timekeeper.Millis
 	arrivals  int
 }
 
 // noticeState is what an endpoint says in its answers, and to which gateway processes it has said so.
 type noticeState struct {
-	isLeaving  bool
-	shedsUntil timekeeper.Millis
-	rest       timekeeper.Millis
-	toldAt     map[*gatewayProcess]timekeeper.Millis
-	askedRests map[*gatewayProcess]*askedRest
+	isLeaving     bool
+	shedsUntil    timekeeper.Millis
+	backoff       timekeeper.Millis
+	toldAt        map[*gatewayProcess]timekeeper.Millis
+	askedBackoffs map[*gatewayProcess]*askedBackoff
 }
 
 func newNoticeState() noticeState {
-	return noticeState{toldAt: map[*gatewayProcess]timekeeper.Millis{}, askedRests: map[*gatewayProcess]*askedRest{}}
+	return noticeState{toldAt: map[*gatewayProcess]timekeeper.Millis{}, askedBackoffs: map[*gatewayProcess]*askedBackoff{}}
 }
 
-// changeNotice lets an endpoint say that it leaves, whatever the store says, or turn requests away for a while and ask for rests.
+// changeNotice lets an endpoint say that it leaves, whatever the store says, or turn requests away for a while and ask for backoffs.
 func (s *gatewaySimulation) changeNotice(id model.EndpointID) {
 	n := &s.endpoints[id].notice
 	if s.choose.oneIn(3) {
@@ -45,7 +45,7 @@
 		return
 	}
 	n.shedsUntil = s.now + s.choose.duration(5*timekeeper.Second)
-	n.rest = 100 + s.choose.duration(4*timekeeper.Second)
+	n.backoff = 100 + s.choose.duration(4*timekeeper.Second)
 }
 
 // outcomeAt returns the outcome of an attempt at an endpoint, which is random unless the endpoint turns requests away.
@@ -72,11 +72,11 @@
 		}
 	}
 	if s.now < n.shedsUntil {
-		if asked := n.askedRests[g]; asked == nil || asked.until <= s.now {
-			n.askedRests[g] = &askedRest{at: s.now, until: s.now + n.rest}
+		if asked := n.askedBackoffs[g]; asked == nil || asked.until <= s.now {
+			n.askedBackoffs[g] = &askedBackoff{at: s.now, until: s.now + n.backoff}
 		}
-		if !s.variant.IgnoresRests {
-			g.balancer.Notices.RecordRest(process, n.rest, s.now)
+		if !s.variant.IgnoresBackoff {
+			g.balancer.Notices.RecordBackoff(process, n.backoff, s.now)
 		}
 	}
 }
@@ -86,20 +86,20 @@
 		s.recordViolation("an endpoint that says that it leaves gets no more", "%s sent a request to %s %d ms after it was told",
 			g.name, id, s.now-toldAt)
 	}
-	asked := n.askedRests[g]
-	if asked == nil || s.now <= asked.at+restLearnTime || s.now >= asked.until {
+	asked := n.askedBackoffs[g]
+	if asked == nil || s.now <= asked.at+backoffLearnTime || s.now >= asked.until {
 		return
 	}
 	asked.arrivals++
-	if asked.arrivals > maxArrivalsInRest {
-		s.recordViolation("an endpoint that rests is left alone", "%s sent %s %d requests in a rest of %d ms",
+	if asked.arrivals > maxArrivalsInBackoff {
+		s.recordViolation("an endpoint that has asked for a backoff is left alone", "%s sent %s %d requests in a rest of %d ms",
 			g.name, id, asked.arrivals, asked.until-asked.at)
 	}
 }
 
-// isWithdrawn reports whether an endpoint has asked a gateway for no more requests.
-func (s *gatewaySimulation) isWithdrawn(g *gatewayProcess, e *cataloguer.Endpoint) bool {
+// wantsNoRequests reports whether an endpoint has asked a gateway for no more requests.
+func (s *gatewaySimulation) wantsNoRequests(g *gatewayProcess, e *cataloguer.Endpoint) bool {
 	notices := g.balancer.Notices
 
-	return notices.IsLeaving(e.Process()) || notices.RestLeft(e.Process(), s.now) > 0
+	return notices.IsLeaving(e.Process()) || notices.BackoffLeft(e.Process(), s.now) > 0
 }
--- a/experimenter/internal/prover/gateway_request.go
+++ b/experimenter/internal/prover/gateway_request.go
@@ -154,7 +154,7 @@
 	maxConnections := s.configuration.Services[r.service].MaxConnections
 	for _, e := range g.view.Endpoints(r.service) {
 		hasCapacity := maxConnections == 0 || g.running[e.ID] < max(maxConnections/len(g.balancer.Membership.Members()), 1)
-		hasCapacity = hasCapacity && s.hasQuota(g, e) && !isFull(e) && !s.isWithdrawn(g, e)
+		hasCapacity = hasCapacity && s.hasQuota(g, e) && !isFull(e) && !s.wantsNoRequests(g, e)
 		if g.view.CanTakeWork(e) && hasCapacity && e.ColdUntil <= s.now && !slices.Contains(r.tried, e.ID) {
 			s.recordViolation("no refusal while an endpoint has capacity",
 				"%s refused a request although %s has capacity", g.name, e.ID)
--- a/experimenter/internal/prover/gateway_simulation.go
+++ b/experimenter/internal/prover/gateway_simulation.go
@@ -26,9 +26,9 @@
 	TakesCopiesAsFresh bool
 	// IgnoresLimits sends requests to endpoints that advertise a limit as to others.
 	IgnoresLimits bool
-	// IgnoresLeaving uses endpoints that say that they leave like others, IgnoresRests those that ask for a rest.
+	// IgnoresLeaving uses endpoints that say that they leave like others, IgnoresBackoff those that ask for a backoff.
 	IgnoresLeaving bool
-	IgnoresRests   bool
+	IgnoresBackoff bool
 	// IgnoresEras orders what the store says by revision alone.
 	IgnoresEras bool
 	// DropsMissingAtOnce drops what a restored store lacks without giving its owners time to write it again.
@@ -222,7 +222,7 @@
 }
 
 // changeDeployment adds or removes an endpoint, takes a failure domain out of service or back in, starts a store outage, lets the
-// store keep a copy or come back from it, or lets an endpoint advertise a limit or none, say that it leaves, or ask for rests.
+// store keep a copy or come back from it, or lets an endpoint advertise a limit or none, say that it leaves, or ask for backoffs.
 func (s *gatewaySimulation) changeDeployment() {
 	c := s.choose
 	switch c(60) {
--- a/experimenter/internal/prover/gateway_simulation_test.go
+++ b/experimenter/internal/prover/gateway_simulation_test.go
@@ -21,18 +21,18 @@
 
 func TestGatewayNaiveVariantsBreak(t *testing.T) {
 	cases := map[string]GatewayVariant{
-		"spends the whole retry budget":      {SpendsWholeRetryBudget: true},
-		"ignores other gateways":             {IgnoresOtherGateways: true},
-		"retries requests that may have run": {RetriesAnyFailure: true},
-		"ignores domains that are out":       {IgnoresDomainOutages: true},
-		"accepts stale copies of ranges":     {AcceptsStaleCopies: true},
-		"takes old copies for fresh ones":    {TakesCopiesAsFresh: true},
-		"ignores limits of endpoints":        {IgnoresLimits: true},
-		"ignores that endpoints leave":       {IgnoresLeaving: true},
-		"ignores that endpoints rest":        {IgnoresRests: true},
-		"ignores eras of the store":          {IgnoresEras: true},
-		"drops what a copy lacks at once":    {DropsMissingAtOnce: true},
-		"trusts what a copy brings back":     {TrustsRestoredEntries: true},
+		"spends the whole retry budget":          {SpendsWholeRetryBudget: true},
+		"ignores other gateways":                 {IgnoresOtherGateways: true},
+		"retries requests that may have run":     {RetriesAnyFailure: true},
+		"ignores domains that are out":           {IgnoresDomainOutages: true},
+		"accepts stale copies of ranges":         {AcceptsStaleCopies: true},
+		"takes old copies for fresh ones":        {TakesCopiesAsFresh: true},
+		"ignores limits of endpoints":            {IgnoresLimits: true},
+		"ignores that endpoints leave":           {IgnoresLeaving: true},
+		"ignores that endpoints ask for backoff": {IgnoresBackoff: true},
+		"ignores eras of the store":              {IgnoresEras: true},
+		"drops what a copy lacks at once":        {DropsMissingAtOnce: true},
+		"trusts what a copy brings back":         {TrustsRestoredEntries: true},
 	}
 	for name, variant := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/fleet/balancer/candidates.go
+++ b/fleet/balancer/candidates.go
@@ -86,7 +86,7 @@
 
 // HasLeft reports whether an endpoint has said that it leaves so long ago that it must not be used any more.
 func (b *Balancer) HasLeft(e *cataloguer.Endpoint, now timekeeper.Millis) bool {
-	return b.Notices.IsLeaving(e.Process()) && b.Notices.LeavingFor(e.Process(), now) >= b.LeaveGrace
+	return b.Notices.HasLeft(e.Process(), b.LeaveGrace, now)
 }
 
 // removeFull removes the candidates without a free slot: what endpoints that advertise a limit do not take must not overrun the
--- a/fleet/balancer/likely.go
+++ b/fleet/balancer/likely.go
@@ -11,10 +11,10 @@
 )
 
 // LikelyEndpoints returns the endpoints to which gateways have sent a request most likely, count at most: those that hold its
-// session's prompt, then those that rank first for the session by rendezvous hashing. It leaves out those that rest.
+// session's prompt, then those that rank first for the session by rendezvous hashing. It leaves out those that have asked for a backoff.
 func (b *Balancer) LikelyEndpoints(v *cataloguer.View, r Request, count int, now timekeeper.Millis) []*cataloguer.Endpoint {
 	endpoints := slices.DeleteFunc(slices.Clone(v.Endpoints(r.Service)), func(e *cataloguer.Endpoint) bool {
-		return b.Notices.RestLeft(e.Process(), now) > 0
+		return b.Notices.BackoffLeft(e.Process(), now) > 0
 	})
 	holders := b.holders.Holders(locator.HashPart(r.Session), now)
 	rank := func(e *cataloguer.Endpoint) int {
--- a/fleet/balancer/obstacle.go
+++ b/fleet/balancer/obstacle.go
@@ -26,10 +26,10 @@
 	ObstacleTried Obstacle = "tried"
 	// ObstacleSoftware means that the endpoint runs another software version than the request is for.
 	ObstacleSoftware Obstacle = "software"
-	// ObstacleResting means that the endpoint has asked this gateway for a rest that is not over.
-	ObstacleResting Obstacle = "resting"
 	// ObstacleConnections means that the gateway uses its share of the endpoint's connections.
 	ObstacleConnections Obstacle = "connections"
+	// ObstacleBackoff means that the endpoint has asked this gateway for a backoff that is not over.
+	ObstacleBackoff Obstacle = "backoff"
 	// ObstacleLimit means that the gateway has used its share of the request rate that the endpoint advertises.
 	ObstacleLimit Obstacle = "limit"
 	// ObstacleCold means that the gateway has used its share of the requests that a cold endpoint takes.
@@ -48,8 +48,8 @@
 	// gateway, to which the caller may come, can have a larger share.
 	minLimitRetryAfter = 50 * timekeeper.Millis(1)
 	maxLimitRetryAfter = 2 * timekeeper.Second
-	// restJitter keeps callers apart that are refused at the same moment of a rest.
-	restJitter = 300 * timekeeper.Millis(1)
+	// backoffJitter keeps callers apart that are refused at the same moment of a backoff.
+	backoffJitter = 300 * timekeeper.Millis(1)
 )
 
 // obstacleCheck is what a check of the endpoints of a service for one request has in common.
@@ -79,8 +79,8 @@
 	case s.running >= k.maxRunning:
 		return ObstacleConnections, 0
 	}
-	if b.Notices.RestLeft(e.Process(), k.now) > 0 {
-		return ObstacleResting, b.Notices.ReturnAfter(e.Process(), k.now)
+	if b.Notices.BackoffLeft(e.Process(), k.now) > 0 {
+		return ObstacleBackoff, b.Notices.ReturnAfter(e.Process(), k.now)
 	}
 	if wait := b.Limits.Wait(e.Process(), k.sharers, k.now); wait > 0 {
 		return ObstacleLimit, wait
@@ -105,10 +105,10 @@
 // obstacleCount counts the endpoints of a service by what keeps them from taking a request.
 type obstacleCount struct {
 	endpoints map[Obstacle]int
-	// limitWait is the shortest time until an endpoint with ObstacleLimit takes a request, restWait the one after which a caller should
-	// come back to one with ObstacleResting.
-	limitWait timekeeper.Millis
-	restWait  timekeeper.Millis
+	// limitWait is the shortest time until an endpoint with ObstacleLimit takes a request, backoffWait the one after which a caller should
+	// come back to one with ObstacleBackoff.
+	limitWait   timekeeper.Millis
+	backoffWait timekeeper.Millis
 }
 
 func (o *obstacleCount) add(reason Obstacle, wait timekeeper.Millis) {
@@ -118,8 +118,8 @@
 	if reason == ObstacleLimit && (!o.has(ObstacleLimit) || wait < o.limitWait) {
 		o.limitWait = wait
 	}
-	if reason == ObstacleResting && (!o.has(ObstacleResting) || wait < o.restWait) {
-		o.restWait = wait
+	if reason == ObstacleBackoff && (!o.has(ObstacleBackoff) || wait < o.backoffWait) {
+		o.backoffWait = wait
 	}
 	o.endpoints[reason]++
 }
@@ -166,21 +166,21 @@
 	return ": " + strings.Join(parts, ", ")
 }
 
-// retryAfter returns how long a caller should wait before a retry. While all endpoints that stay rest, that is until the first rest
-// ends.
+// retryAfter returns how long a caller should wait before a retry. While all endpoints that stay have asked for a backoff, that is until
+// the first one ends.
 func (o *obstacleCount) retryAfter() timekeeper.Millis {
-	if !o.has(ObstacleResting) {
-		return o.retryAfterAwake()
+	if !o.has(ObstacleBackoff) {
+		return o.retryAfterOthers()
 	}
-	if o.areAll(ObstacleResting, ObstacleDraining, ObstacleLeaving, ObstacleSoftware, ObstacleTried) {
-		return o.restWait + rand.N(restJitter)
+	if o.areAll(ObstacleBackoff, ObstacleDraining, ObstacleLeaving, ObstacleSoftware, ObstacleTried) {
+		return o.backoffWait + rand.N(backoffJitter)
 	}
 
-	return min(o.restWait, o.retryAfterAwake())
+	return min(o.backoffWait, o.retryAfterOthers())
 }
 
-// retryAfterAwake returns how long a caller should wait for the endpoints that do not rest.
-func (o *obstacleCount) retryAfterAwake() timekeeper.Millis {
+// retryAfterOthers returns how long a caller should wait for the other endpoints.
+func (o *obstacleCount) retryAfterOthers() timekeeper.Millis {
 	switch {
 	case o.has(ObstacleLimit):
 		return min(max(o.limitWait, minLimitRetryAfter), maxLimitRetryAfter)
--- a/fleet/balancer/obstacle_test.go
+++ b/fleet/balancer/obstacle_test.go
@@ -28,8 +28,8 @@
 		{ObstacleLeaving, func(b *Balancer, v *cataloguer.View, _ *Request) {
 			b.Notices.RecordLeaving(v.Endpoint(only).Process(), settled)
 		}, noEndpointRetryAfter},
-		{ObstacleResting, func(b *Balancer, v *cataloguer.View, _ *Request) {
-			b.Notices.RecordRest(v.Endpoint(only).Process(), 7*timekeeper.Second, settled)
+		{ObstacleBackoff, func(b *Balancer, v *cataloguer.View, _ *Request) {
+			b.Notices.RecordBackoff(v.Endpoint(only).Process(), 7*timekeeper.Second, settled)
 		}, 7 * timekeeper.Second},
 		{ObstacleConnections, func(b *Balancer, v *cataloguer.View, _ *Request) {
 			service := v.Configuration.Services[testService]
@@ -65,10 +65,10 @@
 	}
 }
 
-// isExpected reports whether a Retry-After is the expected one; only those of resting endpoints are staggered.
+// isExpected reports whether a Retry-After is the expected one; only those after a backoff are staggered.
 func isExpected(got, want timekeeper.Millis, o Obstacle) bool {
-	if o == ObstacleResting {
-		return got >= want && got < want+restJitter
+	if o == ObstacleBackoff {
+		return got >= want && got < want+backoffJitter
 	}
 
 	return got == want
--- a/fleet/budgeter/endpoint_notice.go
+++ b/fleet/budgeter/endpoint_notice.go
@@ -10,7 +10,7 @@
 const (
 	// noticeLifetime is how long it is remembered that an endpoint leaves, after it was listed last: a list may lack it for a while.
 	noticeLifetime = 10 * timekeeper.Minute
-	// maxReturnSpread bounds the time over which callers come back after a rest.
+	// maxReturnSpread bounds the time over which callers come back after a backoff.
 	maxReturnSpread = 2 * timekeeper.Second
 	// maxNotices limits the endpoints whose notices are remembered, at about 100 bytes each.
 	maxNotices = 20_000
@@ -20,16 +20,16 @@
 type endpointNotice struct {
 	// leavingSince is when the endpoint first said that it leaves, zero if it has not.
 	leavingSince timekeeper.Millis
-	// restFrom and restUntil are the beginning and the end of the latest rest that it has asked for.
-	restFrom  timekeeper.Millis
-	restUntil timekeeper.Millis
+	// backoffFrom and backoffUntil are the beginning and the end of the latest backoff that it has asked for.
+	backoffFrom  timekeeper.Millis
+	backoffUntil timekeeper.Millis
 	// listedAt is when the run was listed last.
 	listedAt timekeeper.Millis
 }
 
 // EndpointNotices holds what endpoints have asked this gateway for in their answers: that it stops sending requests because they
-// leave, or that it lets them rest. A notice binds only the gateway that has received it, and ends with the run of the endpoint that
-// gave it; what the store says does not end it. It is not safe for concurrent use.
+// leave, or that it sends nothing for a time (a backoff). A notice binds only the gateway that has received it, and ends with the
+// run of the endpoint that gave it; what the store says does not end it. It is not safe for concurrent use.
 type EndpointNotices struct {
 	byProcess map[model.EndpointProcess]endpointNotice
 }
@@ -51,17 +51,17 @@
 	return true
 }
 
-// RecordRest records that an endpoint wants no requests for a time, and returns false if it rests already.
-func (n *EndpointNotices) RecordRest(p model.EndpointProcess, rest, now timekeeper.Millis) bool {
+// RecordBackoff records that an endpoint wants no requests for a time, and returns false if it wants none already.
+func (n *EndpointNotices) RecordBackoff(p model.EndpointProcess, backoff, now timekeeper.Millis) bool {
 	notice, ok := n.noticeOf(p, now)
 	if !ok {
 		return false
 	}
-	isNew := notice.restUntil <= now
+	isNew := notice.backoffUntil <= now
 	if isNew {
-		notice.restFrom = now
+		notice.backoffFrom = now
 	}
-	notice.restUntil = max(notice.restUntil, now+rest)
+	notice.backoffUntil = max(notice.backoffUntil, now+backoff)
 	n.byProcess[p] = notice
 
 	return isNew
@@ -85,51 +85,46 @@
 	return n.byProcess[p].leavingSince > 0
 }
 
-// LeavingFor returns the time since an endpoint first said that it leaves, or zero if it has not.
-func (n *EndpointNotices) LeavingFor(p model.EndpointProcess, now timekeeper.Millis) timekeeper.Millis {
-	notice := n.byProcess[p]
-	if notice.leavingSince == 0 {
-		return 0
-	}
-
-	return now - notice.leavingSince
+// HasLeft reports whether an endpoint first said that it leaves a grace period ago or earlier.
+func (n *EndpointNotices) HasLeft(p model.EndpointProcess, grace, now timekeeper.Millis) bool {
+	return n.IsLeaving(p) && now-n.byProcess[p].leavingSince >= grace
 }
 
-// RestLeft returns how long an endpoint still wants no requests, zero if it does not rest.
-func (n *EndpointNotices) RestLeft(p model.EndpointProcess, now timekeeper.Millis) timekeeper.Millis {
-	return max(n.byProcess[p].restUntil-now, 0)
+// BackoffLeft returns how long an endpoint still wants no requests, zero if it has not asked for a backoff.
+func (n *EndpointNotices) BackoffLeft(p model.EndpointProcess, now timekeeper.Millis) timekeeper.Millis {
+	return max(n.byProcess[p].backoffUntil-now, 0)
 }
 
-// ReturnAfter returns after how long a caller should come back that is refused because an endpoint rests. Callers come back in the order
-// in which they were refused, spread over up to maxReturnSpread after the end of the rest.
+// ReturnAfter returns after how long a caller should come back that is refused because of an endpoint's backoff. Callers come back in
+// the order in which they were refused, spread over up to maxReturnSpread after its end.
 func (n *EndpointNotices) ReturnAfter(p model.EndpointProcess, now timekeeper.Millis) timekeeper.Millis {
 	notice := n.byProcess[p]
-	rest := notice.restUntil - notice.restFrom
-	if notice.restUntil <= now || rest <= 0 {
+	backoff := notice.backoffUntil - notice.backoffFrom
+	if notice.backoffUntil <= now || backoff <= 0 {
 		return 0
 	}
 
-	return notice.restUntil - now + (now-notice.restFrom)*min(rest, maxReturnSpread)/rest
+	return notice.backoffUntil - now + (now-notice.backoffFrom)*min(backoff, maxReturnSpread)/backoff
 }
 
-// Counts returns the numbers of endpoints that leave and that rest.
-func (n *EndpointNotices) Counts(now timekeeper.Millis) (leaving, resting int) {
+// Counts returns the numbers of endpoints that leave and that have asked for a backoff.
+func (n *EndpointNotices) Counts(now timekeeper.Millis) (leaving, backingOff int) {
 	for _, notice := range n.byProcess {
 		if notice.leavingSince > 0 {
 			leaving++
 		}
-		if notice.restUntil > now {
-			resting++
+		if notice.backoffUntil > now {
+			backingOff++
 		}
 	}
 
-	return leaving, resting
+	return leaving, backingOff
 }
 
-// Prune forgets rests that are over and the notices of runs that have not been listed for noticeLifetime.
+// Prune forgets backoffs that are over and the notices of runs that have not been listed for noticeLifetime.
 func (n *EndpointNotices) Prune(isListed func(model.EndpointProcess) bool, now timekeeper.Millis) {
 	maps.DeleteFunc(n.byProcess, func(_ model.EndpointProcess, notice endpointNotice) bool {
-		return notice.leavingSince == 0 && notice.restUntil <= now
+		return notice.leavingSince == 0 && notice.backoffUntil <= now
 	})
 	for p, notice := range n.byProcess {
 		switch {
--- a/fleet/budgeter/endpoint_notice_test.go
+++ b/fleet/budgeter/endpoint_notice_test.go
@@ -15,8 +15,8 @@
 	if !n.RecordLeaving(leaver, now) || n.RecordLeaving(leaver, now+1) {
 		t.Error("an endpoint begins to leave twice, or never")
 	}
-	n.RecordRest(leaver, timekeeper.Second, now)
-	if !n.IsLeaving(leaver) || n.IsLeaving(successor) || n.RestLeft(successor, now) > 0 {
+	n.RecordBackoff(leaver, timekeeper.Second, now)
+	if !n.IsLeaving(leaver) || n.IsLeaving(successor) || n.BackoffLeft(successor, now) > 0 {
 		t.Error("a notice is of another run")
 	}
 	none := func(model.EndpointProcess) bool { return false }
@@ -30,14 +30,14 @@
 	}
 }
 
-func TestRestsEnd(t *testing.T) {
+func TestBackoffsEnd(t *testing.T) {
 	const now = timekeeper.Hour
 	p := model.EndpointProcess{ID: "e"}
 	cases := []struct {
-		name  string
-		rests []timekeeper.Millis
-		after timekeeper.Millis
-		left  timekeeper.Millis
+		name     string
+		backoffs []timekeeper.Millis
+		after    timekeeper.Millis
+		left     timekeeper.Millis
 	}{
 		{"at the beginning", []timekeeper.Millis{3000}, 0, 3000},
 		{"in the middle", []timekeeper.Millis{3000}, 1000, 2000},
@@ -47,35 +47,35 @@
 	}
 	for _, c := range cases {
 		n := NewEndpointNotices()
-		for _, rest := range c.rests {
-			n.RecordRest(p, rest, now)
+		for _, backoff := range c.backoffs {
+			n.RecordBackoff(p, backoff, now)
 		}
-		if left := n.RestLeft(p, now+c.after); left != c.left {
+		if left := n.BackoffLeft(p, now+c.after); left != c.left {
 			t.Errorf("%s: %d ms are left, want %d", c.name, left, c.left)
 		}
 		n.Prune(func(model.EndpointProcess) bool { return true }, now+timekeeper.Minute)
 		if len(n.byProcess) > 0 {
-			t.Errorf("%s: a rest that is over is kept", c.name)
+			t.Errorf("%s: a backoff that is over is kept", c.name)
 		}
 	}
 }
 
-func TestCallersComeBackInOrderAfterRest(t *testing.T) {
+func TestCallersComeBackInOrderAfterBackoff(t *testing.T) {
 	const now = timekeeper.Hour
 	p := model.EndpointProcess{ID: "e"}
-	for _, rest := range []timekeeper.Millis{200, 3000, 60_000} {
+	for _, backoff := range []timekeeper.Millis{200, 3000, 60_000} {
 		n := NewEndpointNotices()
-		n.RecordRest(p, rest, now)
+		n.RecordBackoff(p, backoff, now)
 		last := timekeeper.Millis(0)
-		for at := now; at < now+rest; at += rest / 20 {
+		for at := now; at < now+backoff; at += backoff / 20 {
 			back := at + n.ReturnAfter(p, at)
-			if back < now+rest || back > now+rest+maxReturnSpread || back <= last {
-				t.Errorf("rest of %d ms: refused after %d, back after %d, the one before after %d", rest, at-now, back-now, last-now)
+			if back < now+backoff || back > now+backoff+maxReturnSpread || back <= last {
+				t.Errorf("rest of %d ms: refused after %d, back after %d, the one before after %d", backoff, at-now, back-now, last-now)
 			}
 			last = back
 		}
-		if n.ReturnAfter(p, now+rest) != 0 {
-			t.Errorf("rest of %d ms: a caller is kept away after its end", rest)
+		if n.ReturnAfter(p, now+backoff) != 0 {
+			t.Errorf("rest of %d ms: a caller is kept away after its end", backoff)
 		}
 	}
 }
@@ -84,7 +84,7 @@
 func TestNoticesAreBounded(t *testing.T) {
 	n := NewEndpointNotices()
 	for i := range maxNotices + 10 {
-		n.RecordRest(model.EndpointProcess{ID: "e", StartedAt: timekeeper.Millis(i)}, timekeeper.Minute, 1)
+		n.RecordBackoff(model.EndpointProcess{ID: "e", StartedAt: timekeeper.Millis(i)}, timekeeper.Minute, 1)
 	}
 	if len(n.byProcess) != maxNotices {
 		t.Errorf("%d notices", len(n.byProcess))
--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -51,7 +51,7 @@
 	EventRequestQuarantined       = Event{311, "request-condemned", levelAlarm, "A request has crashed as many endpoints as are tolerated and is quarantined."}
 	EventSuspectLearned           = Event{312, "suspect-learned", levelInfo, "Another gateway has reported crashes of a request that this one did not know."}
 	EventSuspectCleared           = Event{313, "suspect-cleared", levelInfo, "A suspect was served, here or at another gateway; no crashes count against it any more."}
-	EventEndpointRests            = Event{320, "endpoint-rests", levelInfo, "The endpoint has turned a request away and wants no more from this gateway for a while."}
+	EventEndpointBackoff          = Event{320, "endpoint-backoff", levelInfo, "The endpoint has turned a request away and wants no more from this gateway for a while."}
 	EventResponseMismatch         = Event{400, "crossed-answer", levelAlarm, "A response to another attempt arrived and was dropped."}
 	EventIncompleteResponse       = Event{401, "incomplete-answer", levelWarn, "A stream ended without its end marker."}
 	EventRetryBudgetExhausted     = Event{402, "retry-budget-empty", levelWarn, "A retry was not made because the retry budget is exhausted."}
@@ -77,7 +77,7 @@
 		EventEndpointDown, EventEndpointUp, EventEndpointCold, EventEndpointDraining, EventOutlierDetected, EventOutlierRecovered,
 		EventEndpointLimited, EventEndpointUnlimited, EventCacheListUnread,
 		EventEndpointSaysLeaving,
-		EventRequestSuspected, EventRequestQuarantined, EventSuspectLearned, EventSuspectCleared, EventEndpointRests,
+		EventRequestSuspected, EventRequestQuarantined, EventSuspectLearned, EventSuspectCleared, EventEndpointBackoff,
 		EventResponseMismatch, EventIncompleteResponse, EventRetryBudgetExhausted,
 		EventAttemptFailed, EventRequestServed, EventRequestRefused, EventStreamInterrupted, EventStreamResumed, EventCallerDisconnected,
 		EventStreamOriginFound,
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -56,8 +56,8 @@
 
 		return p.newFailure(err, retrier.AttemptFailure{})
 	}
-	if p.forwarder.isWithdrawn(endpoint) {
-		return p.withdraw(conn)
+	if p.forwarder.wantsNoRequests(endpoint) {
+		return p.skipEndpoint(conn)
 	}
 	p.endpointsReached++
 	p.hasReached = true
@@ -73,7 +73,7 @@
 		return p.failAfterSend(conn, errResponseMismatch)
 	}
 	p.advertisedLimit = metadata.Limit
-	p.endpointLeaves, p.endpointRest = metadata.IsLeaving, metadata.Rest
+	p.endpointLeaves, p.endpointBackoff = metadata.IsLeaving, metadata.Backoff
 	p.forwarder.recordLimit(endpoint, metadata, sentAt)
 	p.forwarder.recordNotices(endpoint, metadata)
 	if metadata.IsMisdirected {
--- a/router/internal/forwarder/notice.go
+++ b/router/internal/forwarder/notice.go
@@ -13,8 +13,8 @@
 	"cardamompulley/router/internal/dispatcher"
 )
 
-// errWithdrawn means that an endpoint has asked for no more requests since it was chosen.
-var errWithdrawn = errors.New("forwarder: the endpoint has asked for no more requests")
+// errWantsNoRequests means that an endpoint has asked for no more requests since it was chosen.
+var errWantsNoRequests = errors.New("forwarder: the endpoint has asked for no more requests")
 
 // recordNotices records what an answer asks this gateway for. The answer of another process at the address says nothing of the
 // endpoint.
@@ -28,25 +28,25 @@
 	if m.IsLeaving && f.balancer.Notices.RecordLeaving(e.Process(), now) {
 		f.log.Write(logger.EventEndpointSaysLeaving, logger.String("endpoint", e.ID))
 	}
-	if m.Rest > 0 && f.balancer.Notices.RecordRest(e.Process(), m.Rest, now) {
-		f.log.Write(logger.EventEndpointRests, logger.String("endpoint", e.ID), logger.Int("rest-ms", m.Rest))
+	if m.Backoff > 0 && f.balancer.Notices.RecordBackoff(e.Process(), m.Backoff, now) {
+		f.log.Write(logger.EventEndpointBackoff, logger.String("endpoint", e.ID), logger.Int("backoff-ms", m.Backoff))
 	}
 }
 
-// isWithdrawn reports whether an endpoint has asked this gateway for no more requests.
-func (f *Forwarder) isWithdrawn(e *cataloguer.Endpoint) bool {
-	isWithdrawn := false
+// wantsNoRequests reports whether an endpoint has asked this gateway for no more requests.
+func (f *Forwarder) wantsNoRequests(e *cataloguer.Endpoint) bool {
+	wantsNoRequests := false
 	f.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) {
-		isWithdrawn = b.HasLeft(e, f.clock.Now()) || b.Notices.RestLeft(e.Process(), f.clock.Now()) > 0
+		wantsNoRequests = b.HasLeft(e, f.clock.Now()) || b.Notices.BackoffLeft(e.Process(), f.clock.Now()) > 0
 	})
 
-	return isWithdrawn
+	return wantsNoRequests
 }
 
-// withdraw returns a connection that has carried nothing, and the failure of an attempt whose endpoint has asked for no more
+// skipEndpoint returns a connection that has carried nothing, and the failure of an attempt whose endpoint has asked for no more
 // requests while the request waited.
-func (p *proxiedRequest) withdraw(conn *connector.Conn) *dispatcher.Failure {
+func (p *proxiedRequest) skipEndpoint(conn *connector.Conn) *dispatcher.Failure {
 	p.forwarder.pool.Put(conn)
 
-	return p.newFailure(errWithdrawn, retrier.AttemptFailure{})
+	return p.newFailure(errWantsNoRequests, retrier.AttemptFailure{})
 }
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -45,8 +45,8 @@
 	if p.advertisedLimit > 0 {
 		fields = append(fields, limitField(p.advertisedLimit))
 	}
-	if p.endpointLeaves || p.endpointRest > 0 {
-		fields = append(fields, logger.Bool("leaving", p.endpointLeaves), logger.Int("rest-ms", p.endpointRest))
+	if p.endpointLeaves || p.endpointBackoff > 0 {
+		fields = append(fields, logger.Bool("leaving", p.endpointLeaves), logger.Int("backoff-ms", p.endpointBackoff))
 	}
 	if n := len(p.metadata.Prompt); n > 0 {
 		fields = append(fields,
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -58,9 +58,9 @@
 	// isServedUnframed is true once a success has been relayed whose end does not show that it is whole.
 	isServedUnframed bool
 	choice           balancer.Choice
-	// endpointLeaves is true if the last endpoint has said that it leaves, and endpointRest how long it wants no requests.
-	endpointLeaves bool
-	endpointRest   timekeeper.Millis
+	// endpointLeaves is true if the last endpoint has said that it leaves, and endpointBackoff how long it wants no requests.
+	endpointLeaves  bool
+	endpointBackoff timekeeper.Millis
 	// advertisedLimit is the number of requests a second that the last endpoint has advertised, zero if none.
 	advertisedLimit float64
 	stream          streamState
--- a/router/internal/gateway/handlers.go
+++ b/router/internal/gateway/handlers.go
@@ -29,20 +29,20 @@
 	})
 }
 
-// gauges returns the era and revision of the store, the numbers of endpoints that advertise a limit, say that they leave or rest, and
-// those of streams whose origins are remembered or were forgotten early.
+// gauges returns the era and revision of the store, the numbers of endpoints that advertise a limit, say that they leave or have asked
+// for a backoff, and those of streams whose origins are remembered or were forgotten early.
 func (g *Gateway) gauges() string {
-	limited, leaving, resting := 0, 0, 0
+	limited, leaving, backingOff := 0, 0, 0
 	g.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) {
 		limited = b.Limits.Count()
-		leaving, resting = b.Notices.Counts(g.clock.Now())
+		leaving, backingOff = b.Notices.Counts(g.clock.Now())
 	})
 	origins, evicted := g.forwarder.OriginCounts()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	return fmt.Sprintf("gateway_store_era %d\ngateway_store_revision %d\ngateway_limited_endpoints %d\n"+
-		"gateway_leaving_endpoints %d\ngateway_resting_endpoints %d\n"+
+		"gateway_leaving_endpoints %d\ngateway_backoff_endpoints %d\n"+
 		"gateway_stream_origins %d\ngateway_stream_origins_evicted_total %d\n",
-		g.storePosition.Era, g.storePosition.Revision, limited, leaving, resting, origins, evicted)
+		g.storePosition.Era, g.storePosition.Revision, limited, leaving, backingOff, origins, evicted)
 }
--- a/standin/internal/responder/responder.go
+++ b/standin/internal/responder/responder.go
@@ -55,8 +55,8 @@
 	Limit float64 `json:"limit"`
 	// Leaving says in all answers that the endpoint is about to end.
 	Leaving bool `json:"leaving"`
-	// Rest is the number of seconds for which a request that is rejected asks the gateway to send nothing. If 0, it asks for none.
-	Rest float64 `json:"rest"`
+	// Backoff is the number of seconds for which a request that is rejected asks the gateway to send nothing. If 0, it asks for none.
+	Backoff float64 `json:"backoff"`
 }
 
 // ExecutedRequest is a request that the endpoint has executed or is executing.
@@ -138,14 +138,14 @@
 	})
 }
 
-// reject turns a request away, with the rest that the faults ask for.
+// reject turns a request away, with the backoff that the faults ask for.
 func (p *Responder) reject(w http.ResponseWriter, f Faults) {
 	p.mu.Lock()
 	p.rejections = append(p.rejections, time.Now().UnixMilli())
 	p.mu.Unlock()
 	w.Header().Set(headerNotExecuted, "1")
-	if f.Rest > 0 {
-		w.Header().Set(headerRetryAfter, strconv.FormatFloat(f.Rest, 'f', -1, 64))
+	if f.Backoff > 0 {
+		w.Header().Set(headerRetryAfter, strconv.FormatFloat(f.Backoff, 'f', -1, 64))
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
