Only streams are resumed: a Last-Event-Id on a plain request means nothing

A plain request that bears a Last-Event-Id was taken for a resumed stream, and beside two software versions refused, since plain answers have no origin. Cause: the header alone decided, not the route's kind. Change: the origin is looked for on routes of streams.

--- a/experimenter/internal/launcher/gateway_version_test.go
+++ b/experimenter/internal/launcher/gateway_version_test.go
@@ -268,3 +268,17 @@
 		}
 	}
 }
+
+// Guards against a refusal of a plain request that bears a Last-Event-Id: only streams are resumed.
+func TestPlainRequestIsNoResumedStream(t *testing.T) {
+	f := launchGateways(t, func(s *launcher.GatewaySpec) { s.Gateways, s.PlainEndpoints = 1, 0 })
+	for id, software := range map[model.EndpointID]model.SoftwareVersion{"records-1": "v1", "records-2": "v2"} {
+		must(t, f.StartEndpointOf(id, imitator.ServiceRecords, 0, software))
+	}
+	time.Sleep(time.Second)
+	c := newGatewayCall(f.Gateways[0], http.MethodGet, lookupsPath)
+	c.headers["Last-Event-Id"] = "3"
+	if r := c.mustSend(t); r.status != http.StatusOK {
+		t.Fatalf("status %d: %s", r.status, r.body)
+	}
+}
--- a/router/internal/forwarder/prepare.go
+++ b/router/internal/forwarder/prepare.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/hasher"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/quarantiner"
@@ -47,7 +48,7 @@
 	if refusal := p.checkQuarantine(); refusal != nil {
 		return refusal
 	}
-	if p.metadata.LastEventID != "" {
+	if p.route.Kind == cataloguer.KindStream && p.metadata.LastEventID != "" {
 		return p.findOrigin()
 	}
 
