--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -37,6 +37,7 @@
 	EventHistoryRead              = Event{218, "history-read", levelInfo, "The changes that the store still holds were read, to learn which software versions have served before this process."}
 	EventHistoryUnread            = Event{219, "history-unread", levelWarn, "The changes that the store still holds could not be read."}
 	EventEndpointUnreadable       = Event{222, "endpoint-unreadable", levelWarn, "An entry of the endpoint list is invalid and was ignored."}
+	EventOriginCallFailed         = Event{223, "origin-call-failed", levelWarn, "Another gateway did not answer a call about the origins of streams; origins are sent again."}
 	EventEndpointDown             = Event{300, "endpoint-down", levelWarn, "The endpoint does not respond."}
 	EventEndpointUp               = Event{301, "endpoint-up", levelInfo, "The endpoint responds again; it may be cold."}
 	EventEndpointCold             = Event{302, "endpoint-cold", levelWarn, "The endpoint is cold again."}
@@ -74,6 +75,7 @@
 		EventPeerExchangeFailed, EventVMListUnreachable, EventProcessRefused,
 		EventStoreUnreachable, EventStoreReachable, EventRangeReplaced, EventGatewayUnreachable, EventGatewayReachable,
 		EventDomainOutOfService, EventDomainInService, EventStoreRestored, EventHistoryRead, EventHistoryUnread, EventEndpointAdded, EventEndpointRemoved, EventEndpointUnreadable,
+		EventOriginCallFailed,
 		EventEndpointDown, EventEndpointUp, EventEndpointCold, EventEndpointDraining, EventOutlierDetected, EventOutlierRecovered,
 		EventEndpointLimited, EventEndpointUnlimited, EventCacheListUnread,
 		EventEndpointSaysLeaving,
--- a/fleet/resumer/report.go
+++ b/fleet/resumer/report.go
@@ -12,7 +12,7 @@
 	Seen []model.SoftwareVersion
 	// IsComplete is true if Seen misses no version up to the last answer of the store.
 	IsComplete bool
-	// IsFresh is true if the store has answered since the caller resumes the stream.
+	// IsFresh is true if the store has answered since the caller came to resume the stream.
 	IsFresh bool
 }
 
--- a/router/internal/forwarder/origin.go
+++ b/router/internal/forwarder/origin.go
@@ -40,17 +40,17 @@
 	return f.balancer.SoftwareOf(e, f.clock.Now())
 }
 
-// streamWindow returns the longest time since a stream of a service can have begun that a caller still resumes. The route may be
-// nil.
-func (f *Forwarder) streamWindow(id model.ServiceID, r *cataloguer.Route) timekeeper.Millis {
+// streamWindow returns the longest time since a stream of a service can have begun that a caller still resumes. f.mu must be held.
+func (f *Forwarder) streamWindow(id model.ServiceID) timekeeper.Millis {
+	return min(max(f.longestTimeouts[id], minStreamWindow), maxStreamWindow)
+}
+
+// routeWindow returns the longest time since a stream of a route's service can have begun that a caller still resumes.
+func (f *Forwarder) routeWindow(id model.ServiceID, r *cataloguer.Route) timekeeper.Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	window := max(f.longestTimeouts[id], minStreamWindow)
-	if r != nil {
-		window = max(window, r.Timeout)
-	}
 
-	return min(window, maxStreamWindow)
+	return max(f.streamWindow(id), min(r.Timeout, maxStreamWindow))
 }
 
 // recordCallerTimeout records how long a caller of a service is ready to wait for a resumable stream.
@@ -75,9 +75,7 @@
 // isSole reports whether one known version alone can have begun the streams of a service that callers still resume. f.mu must be
 // held.
 func (f *Forwarder) isSole(id model.ServiceID) bool {
-	window := min(max(f.longestTimeouts[id], minStreamWindow), maxStreamWindow)
-
-	return f.versions.IsSole(id, f.clock.Now()-window)
+	return f.versions.IsSole(id, f.clock.Now()-f.streamWindow(id))
 }
 
 // ReportOrigin returns what this gateway knows of a stream.
--- a/router/internal/forwarder/resume.go
+++ b/router/internal/forwarder/resume.go
@@ -47,7 +47,7 @@
 // findOrigin finds the software version at which the stream that the caller resumes has to go on. It refuses the request if that
 // cannot be known.
 func (p *proxiedRequest) findOrigin() *model.Refusal {
-	q := OriginQuestion{Service: p.service, Window: p.forwarder.streamWindow(p.service, p.route)}
+	q := OriginQuestion{Service: p.service, Window: p.forwarder.routeWindow(p.service, p.route)}
 	reports := []resumer.Report{}
 	unanswered := 0
 	if p.metadata.Resumes != "" {
--- a/router/internal/gateway/origin_exchange.go
+++ b/router/internal/gateway/origin_exchange.go
@@ -45,9 +45,9 @@
 }
 
 // wake makes the gateway look for unsent origins soon.
-func (t originSender) wake() {
+func (s originSender) wake() {
 	select {
-	case t.wakeups <- struct{}{}:
+	case s.wakeups <- struct{}{}:
 	default:
 	}
 }
@@ -116,6 +116,7 @@
 		})
 	}
 	if _, err := p.clientFor(address).RecordOrigins(ctx, request); err != nil {
+		p.gateway.log.Write(logger.EventOriginCallFailed, logger.String("gateway", address), logger.Err(err))
 		p.gateway.forwarder.ReturnUnsentOrigins(origins)
 		if p.markUnreachable(address, err) {
 			p.originSender.wake()
@@ -161,6 +162,7 @@
 				}
 			case ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
 				unanswered++
+				p.gateway.log.Write(logger.EventOriginCallFailed, logger.String("gateway", address), logger.Err(err))
 				p.markUnreachable(address, err)
 			}
 		})
