An odd entry or item of the store costs only itself

Cause: DecodeEndpoint believed any number (slots of 2^63-1, cold times of 1e18 and 1e300, a start of 2^63-1, port 0), and one item that cannot be read (value, revision) made a whole page of the store unreadable; changes of more than 4 MB failed every watch after them. Ruled out: deep nesting, port 70000 and numbers beyond 64 bits were refused alone already; no odd entry ended a process.

--- a/experimenter/internal/launcher/gateway_store.go
+++ b/experimenter/internal/launcher/gateway_store.go
@@ -13,7 +13,12 @@
 		return fmt.Errorf("launcher: encode item: %w", err)
 	}
 
-	return callStandIn(http.MethodPut, f.Store, "/items/"+key, raw)
+	return f.PutBytes(key, raw)
+}
+
+// PutBytes writes an item of the store that need not be JSON.
+func (f *GatewayFleet) PutBytes(key string, value []byte) error {
+	return callStandIn(http.MethodPut, f.Store, "/items/"+key, value)
 }
 
 func (f *GatewayFleet) deleteItem(key string) error {
--- a/experimenter/internal/launcher/log_buffer_test.go
+++ b/experimenter/internal/launcher/log_buffer_test.go
@@ -37,3 +37,11 @@
 
 	return time.Parse(time.RFC3339Nano, found[1])
 }
+
+// count returns the number of events of a name in all logs.
+func (b *lockedBuffer) count(event string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return bytes.Count(b.text.Bytes(), []byte(" name="+event+" "))
+}
--- a/fleet/logger/logger.go
+++ b/fleet/logger/logger.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/go-kit/log"
 )
@@ -48,9 +49,21 @@
 	value any
 }
 
-// String returns a field with a string value.
+// maxValueBytes bounds the texts in a log line, which may come from callers, endpoints or the store.
+const maxValueBytes = 512
+
+// String returns a field with a string value, of which a long one is cut.
 func String[T ~string](name string, value T) Field {
-	return Field{name: name, value: string(value)}
+	return Field{name: name, value: cut(string(value))}
+}
+
+// cut returns the first maxValueBytes of a text.
+func cut(text string) string {
+	if len(text) <= maxValueBytes {
+		return text
+	}
+
+	return strings.ToValidUTF8(text[:maxValueBytes], "") + "..."
 }
 
 // Int returns a field with an integer value.
@@ -58,9 +71,13 @@
 	return Field{name: name, value: int64(value)}
 }
 
-// Err returns a field with the key error.
+// Err returns a field with the key error and the text of an error, of which a long one is cut.
 func Err(err error) Field {
-	return Field{name: "error", value: err}
+	if err == nil {
+		return Field{name: "error", value: nil}
+	}
+
+	return Field{name: "error", value: cut(err.Error())}
 }
 
 // Bool returns a field with a boolean value.
--- a/router/internal/gateway/decode.go
+++ b/router/internal/gateway/decode.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"strings"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
@@ -28,6 +30,14 @@
 	endpoint *cataloguer.Endpoint
 }
 
+// isUnusable reports whether an entry was decoded and names no endpoint.
+func (d *decodedEndpoint) isUnusable() bool {
+	return d.item.Key != "" && d.endpoint == nil
+}
+
+// entriesRefused counts the changes of entries that name no endpoint.
+var entriesRefused = metrics.NewCounter("gateway_endpoint_entries_refused_total")
+
 func newDecodedState() *decodedState {
 	return &decodedState{domainsOut: map[model.DomainID]bool{}, endpoints: map[string]decodedEndpoint{}}
 }
@@ -136,7 +146,10 @@
 	id := endpointID(item.Key)
 	e, err := platform.DecodeEndpoint(id, item.Value)
 	if err != nil {
-		g.log.Write(logger.EventEndpointUnreadable, logger.String("endpoint", id), logger.Err(err))
+		entriesRefused.Inc()
+		if !previous.isUnusable() {
+			g.log.Write(logger.EventEndpointUnreadable, logger.String("endpoint", id), logger.Err(err))
+		}
 
 		return decodedEndpoint{item: item}
 	}
--- a/router/internal/gateway/handlers.go
+++ b/router/internal/gateway/handlers.go
@@ -29,8 +29,8 @@
 	})
 }
 
-// gauges returns the era and revision of the store, the numbers of endpoints that advertise a limit, say that they leave or have asked
-// for a backoff, and those of streams whose origins are remembered or were forgotten early.
+// gauges returns the era and revision of the store, the numbers of entries that name no endpoint, of endpoints that advertise a limit,
+// say that they leave or have asked for a backoff, and those of streams whose origins are remembered or were forgotten early.
 func (g *Gateway) gauges() string {
 	limited, leaving, backingOff := 0, 0, 0
 	g.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) {
@@ -40,9 +40,15 @@
 	origins, evicted := g.forwarder.OriginCounts()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	unusable := 0
+	for _, d := range g.decoded.endpoints {
+		if d.isUnusable() {
+			unusable++
+		}
+	}
 
-	return fmt.Sprintf("gateway_store_era %d\ngateway_store_revision %d\ngateway_limited_endpoints %d\n"+
+	return fmt.Sprintf("gateway_unusable_endpoint_entries %d\ngateway_store_era %d\ngateway_store_revision %d\ngateway_limited_endpoints %d\n"+
 		"gateway_leaving_endpoints %d\ngateway_backoff_endpoints %d\n"+
 		"gateway_stream_origins %d\ngateway_stream_origins_evicted_total %d\n",
-		g.storePosition.Era, g.storePosition.Revision, limited, leaving, backingOff, origins, evicted)
+		unusable, g.storePosition.Era, g.storePosition.Revision, limited, leaving, backingOff, origins, evicted)
 }
--- a/router/internal/gateway/store_sync.go
+++ b/router/internal/gateway/store_sync.go
@@ -100,9 +100,10 @@
 	return oldest
 }
 
-// isHistoryLost reports whether the store has answered that changes alone cannot bring the replicas up to date.
+// isHistoryLost reports whether the store has answered that changes alone cannot bring the replicas up to date, or with more changes
+// than one answer may hold. A range is read in pages.
 func isHistoryLost(err error) bool {
-	return errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrEraChanged)
+	return errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrEraChanged) || errors.Is(err, platform.ErrTooLarge)
 }
 
 // rereadSpread returns the time over which all gateways read their ranges again, so that they use at most rereadShare of the
--- a/standin/internal/storekeeper/faults.go
+++ b/standin/internal/storekeeper/faults.go
@@ -11,6 +11,8 @@
 	HangWatches bool `json:"deaf"`
 	// ForgetHistory answers every watch as if the history that it needs were gone.
 	ForgetHistory bool `json:"forgetful"`
+	// AddOddItems adds items that cannot be read to every answer that has any.
+	AddOddItems bool `json:"odd-items"`
 	// ResetConnections closes the connection of every read request.
 	ResetConnections bool `json:"reset"`
 }
--- a/standin/internal/storekeeper/store.go
+++ b/standin/internal/storekeeper/store.go
@@ -35,6 +35,8 @@
 	Revision uint64 `json:"current-rev"`
 	// era is the store's era when the response was made.
 	era uint64
+	// hasOddItems adds items that cannot be read.
+	hasOddItems bool
 }
 
 // Store is a stand-in for the platform's key-value store.
@@ -119,7 +121,7 @@
 func (s *Store) handleRange(w http.ResponseWriter, r *http.Request) {
 	prefix, afterKey := r.URL.Query().Get("prefix"), r.URL.Query().Get("start-after")
 	s.mu.Lock()
-	result := response{Revision: s.revision, era: s.era}
+	result := response{Revision: s.revision, era: s.era, hasOddItems: s.faults.AddOddItems}
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) && key > afterKey {
 			result.Entries = append(result.Entries, item)
@@ -177,7 +179,7 @@
 func (s *Store) eventsSince(prefix string, afterRevision uint64) (response, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	result := response{Revision: s.revision, era: s.era}
+	result := response{Revision: s.revision, era: s.era, hasOddItems: s.faults.AddOddItems}
 	for _, e := range s.events {
 		if e.Revision > afterRevision && strings.HasPrefix(e.Key, prefix) {
 			result.Events = append(result.Events, e)
@@ -268,6 +270,11 @@
 // writeResponse writes a response with the era in which it was made.
 func writeResponse(w http.ResponseWriter, r response) {
 	w.Header().Set(headerEra, strconv.FormatUint(r.era, 10))
+	if r.hasOddItems {
+		writeJSON(w, r.withOddItems())
+
+		return
+	}
 	writeJSON(w, r)
 }
 
