A gateway counts the time for which its VM was suspended as silence of the store

Cause: the steady clock stands still while a VM is suspended, so a gateway that wakes took its list of endpoints for one that it had followed all the while, and its history of software versions for whole.

--- a/experimenter/internal/launcher/gateway_version_test.go
+++ b/experimenter/internal/launcher/gateway_version_test.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -282,3 +283,60 @@
 		t.Fatalf("status %d: %s", r.status, r.body)
 	}
 }
+
+// Guards against a gateway that was out of step while endpoints of a new version joined, and lets callers take up at another version
+// what these have begun through other gateways.
+func TestGatewayOutOfStepJoinsNoStreams(t *testing.T) {
+	const streams = 24
+	old, joining := []versionedEngine{{"a1", "v1"}, {"a2", "v1"}}, []versionedEngine{{"b1", "v2"}, {"b2", "v2"}}
+	cases := []struct {
+		name string
+		// before puts the last gateway out of step; after ends that, or lets the others stand still in its place.
+		before, after func(*testing.T, *launcher.GatewayFleet)
+	}{
+		{"stood still", func(t *testing.T, f *launcher.GatewayFleet) { must(t, f.Gateways[2].Signal(syscall.SIGSTOP)) },
+			func(t *testing.T, f *launcher.GatewayFleet) { must(t, f.Gateways[2].Signal(syscall.SIGCONT)) }},
+		{"cut off from the others since", func(*testing.T, *launcher.GatewayFleet) {}, func(t *testing.T, f *launcher.GatewayFleet) {
+			must(t, f.Gateways[0].Signal(syscall.SIGSTOP))
+			must(t, f.Gateways[1].Signal(syscall.SIGSTOP))
+		}},
+		{"stood still, then cut off from the others and the store", func(t *testing.T, f *launcher.GatewayFleet) {
+			must(t, f.Gateways[2].Signal(syscall.SIGSTOP))
+		}, func(t *testing.T, f *launcher.GatewayFleet) {
+			must(t, f.Gateways[0].Signal(syscall.SIGSTOP))
+			must(t, f.Gateways[1].Signal(syscall.SIGSTOP))
+			must(t, f.Store.Signal(syscall.SIGSTOP))
+			must(t, f.Gateways[2].Signal(syscall.SIGCONT))
+		}},
+		{"the others are killed as it wakes", func(t *testing.T, f *launcher.GatewayFleet) {
+			must(t, f.Gateways[2].Signal(syscall.SIGSTOP))
+		}, func(t *testing.T, f *launcher.GatewayFleet) {
+			f.Gateways[0].Kill()
+			f.Gateways[1].Kill()
+			must(t, f.Gateways[2].Signal(syscall.SIGCONT))
+		}},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			f := launchVersions(t, 3, old...)
+			x.before(t, f)
+			startEngines(t, f, joining...)
+			time.Sleep(600 * time.Millisecond)
+			all := newStreams(streams, true)
+			begun, breakOff := context.WithCancel(t.Context())
+			first := sendStreams(begun, all, f.Gateways[0], f.Gateways[1])
+			time.Sleep(400 * time.Millisecond)
+			breakOff()
+			first.Wait()
+			f.Endpoints[joining[0].id].Kill()
+			x.after(t, f)
+			ctx, cancel := context.WithTimeout(t.Context(), streamTimeout)
+			defer cancel()
+			sendStreams(ctx, all, f.Gateways[2]).Wait()
+			if _, joined := countStreams(all); joined > 0 {
+				t.Errorf("%d of %d streams hold pieces of two versions", joined, streams)
+			}
+		})
+	}
+}
--- a/experimenter/internal/prover/idempotency_simulation.go
+++ b/experimenter/internal/prover/idempotency_simulation.go
@@ -180,7 +180,7 @@
 		}
 	}
 
-	return timekeeper.Clock{Now: zeroAtStart(clock.Now), Wall: zeroAtStart(clock.Wall)}
+	return timekeeper.Clock{Now: zeroAtStart(clock.Now), Wall: zeroAtStart(clock.Wall), Suspended: clock.Suspended}
 }
 
 func (s *idempotencySimulation) step() {
--- a/experimenter/internal/prover/prover.go
+++ b/experimenter/internal/prover/prover.go
@@ -93,6 +93,11 @@
 			Faults: "versions come and leave, gateways killed one by one or all at once, cut off from each other or from the store, changes discarded early",
 			Run:    func(c Chooser) *Violation { return RunResumeSimulation(c, ResumeVariant{}) },
 		},
+		{
+			Name:   "resumed streams stay at their version beside suspended VMs",
+			Faults: "the same, and VMs that are suspended for up to 20 s, which their clocks do not count",
+			Run:    func(c Chooser) *Violation { return RunSuspendedResumeSimulation(c, ResumeVariant{}) },
+		},
 	}
 }
 
--- a/experimenter/internal/prover/resume_gateway.go
+++ b/experimenter/internal/prover/resume_gateway.go
@@ -22,7 +22,25 @@
 	storeSilentUntil timekeeper.Millis
 	// cutOffUntil is the time until which the gateway reaches no other gateway.
 	cutOffUntil timekeeper.Millis
-	isDead      bool
+	// suspendedUntil is the time until which the gateway's VM is suspended, suspended how long it was in all. The gateway's clock does not
+	// count that time. suspendedBefore is what of it was before listedAt.
+	suspendedUntil             timekeeper.Millis
+	suspended, suspendedBefore timekeeper.Millis
+	isDead                     bool
+}
+
+// clockOf returns the time on the clock of a gateway.
+func (s *resumeSimulation) clockOf(g *resumeGateway) timekeeper.Millis {
+	return s.now - g.suspended
+}
+
+// silence returns how long ago a gateway has listed what the store does, as far as it knows.
+func (s *resumeSimulation) silence(g *resumeGateway) timekeeper.Millis {
+	if s.variant.IgnoresSuspension {
+		return s.now - g.listedAt - (g.suspended - g.suspendedBefore)
+	}
+
+	return s.now - g.listedAt
 }
 
 // startGateway returns a new gateway process that has read the store's list and the changes that it still holds.
@@ -39,7 +57,7 @@
 // readList lets a gateway list what the store does.
 func (s *resumeSimulation) readList(g *resumeGateway) {
 	g.list = s.listed()
-	g.listedAt = s.now
+	g.listedAt, g.suspendedBefore = s.now, g.suspended
 	var endpoints []*cataloguer.Endpoint
 	for _, e := range g.list {
 		endpoints = append(endpoints, &e.Endpoint)
@@ -47,7 +65,7 @@
 	if s.variant.ForgetsLeavers {
 		g.versions = resumer.NewVersionHistory(0, s.startedAt)
 	}
-	g.versions.Observe(endpoints, s.now)
+	g.versions.Observe(endpoints, s.clockOf(g))
 }
 
 // readRetained lets a new gateway learn from the changes that the store still holds, if it holds all that it ever had.
@@ -67,7 +85,7 @@
 
 // syncGateway lets a gateway follow the store now and then. It learns all changes in between, unless they are gone.
 func (s *resumeSimulation) syncGateway(g *resumeGateway) {
-	if s.now >= g.storeSilentUntil && s.choose.oneIn(4) {
+	if s.now >= g.storeSilentUntil && s.now >= g.suspendedUntil && s.choose.oneIn(4) {
 		s.followStore(g)
 	}
 }
@@ -75,12 +93,12 @@
 // followStore brings a gateway up to date with the store.
 func (s *resumeSimulation) followStore(g *resumeGateway) {
 	isGap := s.discardedAt > g.listedAt || s.now-g.listedAt > resumeRetention
-	if isGap && s.now-g.listedAt > resumeGap {
-		g.versions.Restart(s.now)
+	if isGap && s.silence(g) > resumeGap {
+		g.versions.Restart(s.clockOf(g))
 	}
 	for _, e := range s.endpoints {
 		if !isGap && !e.isListed() && e.leftAt > g.listedAt {
-			g.versions.RecordPast(resumeService, e.Software, s.now)
+			g.versions.RecordPast(resumeService, e.Software, s.clockOf(g))
 		}
 	}
 	s.readList(g)
@@ -89,7 +107,9 @@
 
 // reaches reports whether a gateway reaches another one.
 func (s *resumeSimulation) reaches(from, to *resumeGateway) bool {
-	return from != to && !from.isDead && !to.isDead && s.now >= from.cutOffUntil && s.now >= to.cutOffUntil
+	isAwake := s.now >= from.suspendedUntil && s.now >= to.suspendedUntil
+
+	return from != to && !from.isDead && !to.isDead && isAwake && s.now >= from.cutOffUntil && s.now >= to.cutOffUntil
 }
 
 // ranked returns the other gateways that a gateway reaches, in the order of their ranks for a stream, count at most.
@@ -106,22 +126,20 @@
 	return reached[:min(count, len(reached))]
 }
 
-func (s *resumeSimulation) silence(g *resumeGateway) timekeeper.Millis {
-	return s.now - g.listedAt
-}
-
 // sendOrigins lets a gateway send others the origins that they need.
 func (s *resumeSimulation) sendOrigins(g *resumeGateway) {
 	if s.variant.SendsNoOrigins {
 		return
 	}
 	isNeeded := func(id model.ServiceID) bool {
-		return s.silence(g) > resumeMaxSilence || !g.versions.IsSole(id, s.now-resumeWindow)
+		return s.silence(g) > resumeMaxSilence || !g.versions.IsSole(id, s.clockOf(g)-resumeWindow)
 	}
-	for _, o := range g.origins.TakeUnsent(isNeeded, s.now) {
+	for _, o := range g.origins.TakeUnsent(isNeeded, s.clockOf(g)) {
 		holders := s.ranked(g, o.Key, resumeHolders)
 		for _, other := range holders {
-			other.origins.Merge(o, s.now)
+			sent := o
+			sent.Until += s.clockOf(other) - s.clockOf(g)
+			other.origins.Merge(sent, s.clockOf(other))
 		}
 		if len(holders) == 0 && !s.variant.SendsOnce {
 			g.origins.ReturnUnsent([]resumer.Origin{o})
@@ -131,10 +149,10 @@
 
 func (s *resumeSimulation) reportOrigin(g *resumeGateway, key resumer.StreamKey) resumer.Report {
 	t := resumer.Report{
-		Seen:       g.versions.Seen(resumeService, s.now-resumeWindow),
-		IsComplete: g.versions.IsComplete(s.now - resumeWindow),
+		Seen:       g.versions.Seen(resumeService, s.clockOf(g)-resumeWindow),
+		IsComplete: g.versions.IsComplete(s.clockOf(g) - resumeWindow),
 	}
-	t.Software, t.IsKnown = g.origins.Find(key, s.now)
+	t.Software, t.IsKnown = g.origins.Find(key, s.clockOf(g))
 
 	return t
 }
--- a/experimenter/internal/prover/resume_simulation.go
+++ b/experimenter/internal/prover/resume_simulation.go
@@ -26,6 +26,8 @@
 	AsksNoEndpoint bool
 	// SendsOnce forgets to send the origins of streams that began while no other gateway could be reached.
 	SendsOnce bool
+	// IgnoresSuspension takes the time for which the VM was suspended for none, as its clock does.
+	IgnoresSuspension bool
 	// SendsNoOrigins keeps the origins of streams at the gateways that began them.
 	SendsNoOrigins bool
 }
@@ -87,6 +89,8 @@
 	lastVersion  timekeeper.Millis
 	lastRelease  timekeeper.Millis
 	isCalmVolume bool
+	// suspends is true if VMs are suspended now and then.
+	suspends bool
 	// deaths holds the times at which gateways were killed.
 	deaths    []timekeeper.Millis
 	violation *Violation
@@ -97,6 +101,19 @@
 // began it, and that streams go on where that can be known.
 func RunResumeSimulation(c Chooser, variant ResumeVariant) *Violation {
 	s := &resumeSimulation{choose: c, variant: variant, now: timekeeper.Hour}
+
+	return s.run()
+}
+
+// RunSuspendedResumeSimulation is RunResumeSimulation with VMs that are suspended, too, for a time that their clocks do not count.
+func RunSuspendedResumeSimulation(c Chooser, variant ResumeVariant) *Violation {
+	s := &resumeSimulation{choose: c, variant: variant, now: timekeeper.Hour, suspends: true}
+
+	return s.run()
+}
+
+func (s *resumeSimulation) run() *Violation {
+	c := s.choose
 	s.startedAt, s.lastFault, s.lastRelease = s.now, s.now, s.now
 	s.isCalmVolume = c.oneIn(3)
 	s.addVersion(2 + c(4))
@@ -158,7 +175,7 @@
 	}
 }
 
-// injectResumeFaults kills gateways, cuts them off and lets the store be silent or discard its changes.
+// injectResumeFaults kills gateways, cuts them off, suspends them and lets the store be silent or discard its changes.
 func (s *resumeSimulation) injectResumeFaults() {
 	c := s.choose
 	if s.isCalmVolume && s.now-s.startedAt < resumeCalm {
@@ -181,7 +198,29 @@
 		if !s.isCalmVolume {
 			s.discardedAt, s.lastFault = s.now, s.now
 		}
+	case 6, 7, 8, 9, 10:
+		if s.suspends {
+			s.suspend(s.gateways[c(len(s.gateways))])
+		}
+	}
+}
+
+// suspend lets the VM of a gateway stand still for a while.
+func (s *resumeSimulation) suspend(g *resumeGateway) {
+	if s.now < g.suspendedUntil {
+		return
 	}
+	period := s.choose.duration(resumeRetention)
+	g.suspendedUntil = s.now + period
+	g.suspended += period
+	s.lastFault = max(s.lastFault, g.suspendedUntil)
+}
+
+// awakeGateway returns a gateway that is not suspended, or false.
+func (s *resumeSimulation) awakeGateway() (*resumeGateway, bool) {
+	g := s.gateways[s.choose(len(s.gateways))]
+
+	return g, s.now >= g.suspendedUntil
 }
 
 // killGateways replaces gateways by new processes that remember nothing.
@@ -200,7 +239,10 @@
 
 // beginStream begins a stream at an endpoint that a gateway lists and that still serves.
 func (s *resumeSimulation) beginStream() {
-	g := s.gateways[s.choose(len(s.gateways))]
+	g, isAwake := s.awakeGateway()
+	if !isAwake {
+		return
+	}
 	var serving []*resumeEndpoint
 	for _, e := range g.list {
 		if e.isListed() || s.now-e.leftAt < resumeLinger {
@@ -215,9 +257,9 @@
 	stream := &resumedStream{key: resumer.StreamKey(s.keys), software: e.Software, endpoint: e, beganAt: s.now, gateway: g}
 	s.streams = append(s.streams, stream)
 	g.origins.RecordStart(resumer.StreamStart{
-		Origin:  resumer.Origin{Key: stream.key, Software: e.Software, Until: s.now + resumeWindow},
+		Origin:  resumer.Origin{Key: stream.key, Software: e.Software, Until: s.clockOf(g) + resumeWindow},
 		Service: resumeService, Endpoint: e.ID,
-	}, s.now)
+	}, s.clockOf(g))
 	s.sendOrigins(g)
 }
 
@@ -228,7 +270,10 @@
 		return
 	}
 	stream := s.streams[s.choose(len(s.streams))]
-	g := s.gateways[s.choose(len(s.gateways))]
+	g, isAwake := s.awakeGateway()
+	if !isAwake {
+		return
+	}
 	software, isResolved := s.resolve(g, stream)
 	if isResolved && software != stream.software {
 		s.recordViolation("a stream goes on at the version that began it", "a stream of %s goes on at %s, %d ms after it began",
--- a/experimenter/internal/prover/resume_simulation_test.go
+++ b/experimenter/internal/prover/resume_simulation_test.go
@@ -38,6 +38,15 @@
 	})
 }
 
+// Guards against a gateway that takes its list for the newest one because its clock has stood still with its VM.
+func TestResumedStreamsBesideSuspendedVMs(t *testing.T) {
+	const naiveSeed = 336
+	requireNoViolation(t, Properties()[7])
+	if v := RunSuspendedResumeSimulation(NewChooser(naiveSeed), ResumeVariant{IgnoresSuspension: true}); v == nil {
+		t.Fatal("the schedule does not show a gateway that trusts a clock that has stood still")
+	}
+}
+
 func TestResumeNaiveVariantsBreak(t *testing.T) {
 	cases := map[string]ResumeVariant{
 		"guesses the present version": {GuessesPresentVersion: true},
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -53,9 +53,8 @@
 	// viewReady is closed when the first view, of a configuration and a list of endpoints, is in force.
 	viewReady chan struct{}
 	peers     *peers
-	// endpointsKnownAt is the latest time, in milliseconds, at which the list of endpoints was known to be whole. It is written with mu
-	// held, and read without by requests.
-	endpointsKnownAt atomic.Int64
+	// endpointsKnown is when the list of endpoints was last known to be whole. It is written with mu held, and read without by requests.
+	endpointsKnown atomic.Pointer[listTime]
 	// controlTraffic counts the bytes exchanged with other gateways; the metric is control_bytes_total.
 	controlTraffic counter.Counter
 
@@ -98,6 +97,7 @@
 		startedAt: clock.Now(),
 		viewReady: make(chan struct{}),
 	}
+	g.endpointsKnown.Store(&listTime{})
 	g.peers = newPeers(g)
 	g.forwarder.CurrentView = g.view.Load
 	g.forwarder.StateReady = g.viewReady
--- a/router/internal/gateway/software_history.go
+++ b/router/internal/gateway/software_history.go
@@ -22,19 +22,32 @@
 	historyPause = timekeeper.Second
 )
 
+// listTime is the time of a list, zero if there was none, and how long the VM had been suspended by then.
+type listTime struct {
+	at, suspended timekeeper.Millis
+}
+
 // storeSilence returns the time since the store last answered this gateway or another one.
 func (g *Gateway) storeSilence() timekeeper.Millis {
-	knownAt := timekeeper.Millis(g.endpointsKnownAt.Load())
-	if knownAt == 0 {
+	return g.silenceBefore(g.clock.Now())
+}
+
+// silenceBefore returns the time from the last list of endpoints that was known to be whole to a time. It counts what the clock does
+// not: the time for which the VM was suspended.
+func (g *Gateway) silenceBefore(at timekeeper.Millis) timekeeper.Millis {
+	known := g.endpointsKnown.Load()
+	if known.at == 0 {
 		return timekeeper.Hour
 	}
 
-	return g.clock.Now() - knownAt
+	return at - known.at + g.clock.Suspended() - known.suspended
 }
 
-// raiseEndpointsKnownAt records that the list of endpoints was known to be whole at a time. g.mu must be held.
-func (g *Gateway) raiseEndpointsKnownAt(at timekeeper.Millis) {
-	g.endpointsKnownAt.Store(max(g.endpointsKnownAt.Load(), int64(at)))
+// raiseEndpointsKnown records that the list of endpoints was known to be whole at a time. g.mu must be held.
+func (g *Gateway) raiseEndpointsKnown(at timekeeper.Millis) {
+	if at >= g.endpointsKnown.Load().at {
+		g.endpointsKnown.Store(&listTime{at: at, suspended: g.clock.Suspended()})
+	}
 }
 
 // recordWholeList records that a replica is being replaced by the whole range as it was at a time. If that is long after the last
@@ -43,8 +56,8 @@
 	if r != g.endpointReplica {
 		return
 	}
-	isContinuous := r.HasSynced() && era == r.Synced().Era && at-timekeeper.Millis(g.endpointsKnownAt.Load()) <= g.settings.DrainTime
-	g.raiseEndpointsKnownAt(at)
+	isContinuous := r.HasSynced() && era == r.Synced().Era && g.silenceBefore(at) <= g.settings.DrainTime
+	g.raiseEndpointsKnown(at)
 	if !isContinuous {
 		g.forwarder.UpdateVersions(func(h *resumer.VersionHistory) { h.Restart(at) })
 	}
@@ -55,7 +68,7 @@
 	if r != g.endpointReplica {
 		return
 	}
-	g.raiseEndpointsKnownAt(at)
+	g.raiseEndpointsKnown(at)
 	endpoints := decodeChanges(changes)
 	if len(endpoints) == 0 {
 		return
@@ -88,7 +101,7 @@
 	if e.Software == previous.Software {
 		return
 	}
-	since := timekeeper.Millis(g.endpointsKnownAt.Load()) - outageHeartbeats*g.settings.HeartbeatInterval
+	since := g.endpointsKnown.Load().at - outageHeartbeats*g.settings.HeartbeatInterval
 	g.forwarder.MarkOriginsUncertain(e.ID, since)
 }
 
--- a/router/internal/gateway/software_history_test.go
+++ b/router/internal/gateway/software_history_test.go
@@ -82,3 +82,44 @@
 		t.Errorf("versions %v, want the one that was listed", seen)
 	}
 }
+
+// Guards against a gateway that believes to have followed the list of endpoints while its VM was suspended, because its clock has stood
+// still with it.
+func TestSuspendedGatewayHasNotFollowedEndpoints(t *testing.T) {
+	cases := []struct {
+		name       string
+		pause      func(*timekeeper.ManualClock)
+		isComplete bool
+	}{
+		{"nothing", func(*timekeeper.ManualClock) {}, true},
+		{"a short suspension", func(c *timekeeper.ManualClock) { c.Suspend(100) }, true},
+		{"a long suspension", func(c *timekeeper.ManualClock) { c.Suspend(10 * timekeeper.Second) }, false},
+		{"a long silence", func(c *timekeeper.ManualClock) { c.Advance(10 * timekeeper.Second) }, false},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			clock := timekeeper.NewManualClock(timekeeper.Hour)
+			s := NewSettings()
+			s.PeerListen, s.DrainTime = "127.0.0.1:1", 2*timekeeper.Second
+			g := NewGateway(s, clock.Clock(), logger.NewDiscard())
+			readList := func(revision uint64) {
+				now := g.clock.Now()
+				g.recordWholeList(g.endpointReplica, 1, now)
+				g.endpointReplica.Replace(nil, replicator.Position{Era: 1, Revision: revision}, now, now)
+			}
+			readList(1)
+			clock.Advance(timekeeper.Second)
+			readList(2)
+			x.pause(clock)
+			silence := g.storeSilence()
+			readList(9)
+			got := g.forwarder.ReportOrigin(forwarder.OriginQuestion{Service: "s", Window: timekeeper.Second / 2})
+			if got.IsComplete != x.isComplete {
+				t.Errorf("the history is complete: %v, want %v", got.IsComplete, x.isComplete)
+			}
+			if isSilent := silence >= s.DrainTime; isSilent == x.isComplete {
+				t.Errorf("the store was silent for %d ms", silence)
+			}
+		})
+	}
+}
