--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: all build demo test prove measure slopes bench fmt lint generate
+.PHONY: all build demo test prove measure slopes bench fmt lint cross generate
 
 all: build
 
@@ -40,5 +40,12 @@
 	@for m in $(MODULES); do go vet ./$$m/... || exit 1; done
 	@for m in $(MODULES); do (cd $$m && go run $(LINTER) run ./...) || exit 1; done
 
+# Builds and vets all code and tests for each kind of machine that has to run them.
+cross:
+	@for a in amd64 arm64; do for m in $(MODULES); do \
+		CGO_ENABLED=0 GOOS=linux GOARCH=$$a go build ./$$m/... || exit 1; \
+		CGO_ENABLED=0 GOOS=linux GOARCH=$$a go vet ./$$m/... || exit 1; \
+	done; done
+
 generate:
 	buf generate
