One gateway asks each endpoint what it has cached, and tells the others

Cause: after the death of all gateways each of them listed every endpoint for itself to find where streams had run (lists grow as gateways x endpoints). Change: FindCachedPart; the gateway that ranks first for an endpoint reads its list, others ask it for one part and read for themselves what it does not know; no list from before the start of the one that asks counts.

--- a/fleet/messenger/messengerconnect/gateway.connect.go
+++ b/fleet/messenger/messengerconnect/gateway.connect.go
@@ -39,6 +39,8 @@
 	GatewayRecordOriginsProcedure = "/cardamompulley.messenger.v1.Gateway/RecordOrigins"
 	// GatewayFindOriginProcedure is the fully-qualified name of the Gateway's FindOrigin RPC.
 	GatewayFindOriginProcedure = "/cardamompulley.messenger.v1.Gateway/FindOrigin"
+	// GatewayFindCachedPartProcedure is the fully-qualified name of the Gateway's FindCachedPart RPC.
+	GatewayFindCachedPartProcedure = "/cardamompulley.messenger.v1.Gateway/FindCachedPart"
 )
 
 // GatewayClient is a client for the cardamompulley.messenger.v1.Gateway service.
@@ -50,6 +52,8 @@
 	RecordOrigins(context.Context, *messenger.RecordOriginsRequest) (*messenger.RecordOriginsResponse, error)
 	// FindOrigin asks what a gateway knows of the software version that began a stream.
 	FindOrigin(context.Context, *messenger.FindOriginRequest) (*messenger.FindOriginResponse, error)
+	// FindCachedPart asks how much endpoints keep of a prompt part. The gateway reads their lists unless it has done so a short time ago.
+	FindCachedPart(context.Context, *messenger.FindCachedPartRequest) (*messenger.FindCachedPartResponse, error)
 }
 
 // NewGatewayClient constructs a client for the cardamompulley.messenger.v1.Gateway service. By
@@ -81,14 +85,21 @@
 			connect.WithSchema(gatewayMethods.ByName("FindOrigin")),
 			connect.WithClientOptions(opts...),
 		),
+		findCachedPart: connect.NewClient[messenger.FindCachedPartRequest, messenger.FindCachedPartResponse](
+			httpClient,
+			baseURL+GatewayFindCachedPartProcedure,
+			connect.WithSchema(gatewayMethods.ByName("FindCachedPart")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gatewayClient implements GatewayClient.
 type gatewayClient struct {
-	trade         *connect.Client[messenger.TradeRequest, messenger.TradeResponse]
-	recordOrigins *connect.Client[messenger.RecordOriginsRequest, messenger.RecordOriginsResponse]
-	findOrigin    *connect.Client[messenger.FindOriginRequest, messenger.FindOriginResponse]
+	trade          *connect.Client[messenger.TradeRequest, messenger.TradeResponse]
+	recordOrigins  *connect.Client[messenger.RecordOriginsRequest, messenger.RecordOriginsResponse]
+	findOrigin     *connect.Client[messenger.FindOriginRequest, messenger.FindOriginResponse]
+	findCachedPart *connect.Client[messenger.FindCachedPartRequest, messenger.FindCachedPartResponse]
 }
 
 // Trade calls cardamompulley.messenger.v1.Gateway.Trade.
@@ -118,6 +129,15 @@
 	return nil, err
 }
 
+// FindCachedPart calls cardamompulley.messenger.v1.Gateway.FindCachedPart.
+func (c *gatewayClient) FindCachedPart(ctx context.Context, req *messenger.FindCachedPartRequest) (*messenger.FindCachedPartResponse, error) {
+	response, err := c.findCachedPart.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // GatewayHandler is an implementation of the cardamompulley.messenger.v1.Gateway service.
 type GatewayHandler interface {
 	// Trade exchanges load counts, crash records and membership between two gateways, and returns the store entries that the
@@ -127,6 +147,8 @@
 	RecordOrigins(context.Context, *messenger.RecordOriginsRequest) (*messenger.RecordOriginsResponse, error)
 	// FindOrigin asks what a gateway knows of the software version that began a stream.
 	FindOrigin(context.Context, *messenger.FindOriginRequest) (*messenger.FindOriginResponse, error)
+	// FindCachedPart asks how much endpoints keep of a prompt part. The gateway reads their lists unless it has done so a short time ago.
+	FindCachedPart(context.Context, *messenger.FindCachedPartRequest) (*messenger.FindCachedPartResponse, error)
 }
 
 // NewGatewayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -154,6 +176,12 @@
 		connect.WithSchema(gatewayMethods.ByName("FindOrigin")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayFindCachedPartHandler := connect.NewUnaryHandlerSimple(
+		GatewayFindCachedPartProcedure,
+		svc.FindCachedPart,
+		connect.WithSchema(gatewayMethods.ByName("FindCachedPart")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cardamompulley.messenger.v1.Gateway/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayTradeProcedure:
@@ -162,6 +190,8 @@
 			gatewayRecordOriginsHandler.ServeHTTP(w, r)
 		case GatewayFindOriginProcedure:
 			gatewayFindOriginHandler.ServeHTTP(w, r)
+		case GatewayFindCachedPartProcedure:
+			gatewayFindCachedPartHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -182,3 +212,7 @@
 func (UnimplementedGatewayHandler) FindOrigin(context.Context, *messenger.FindOriginRequest) (*messenger.FindOriginResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cardamompulley.messenger.v1.Gateway.FindOrigin is not implemented"))
 }
+
+func (UnimplementedGatewayHandler) FindCachedPart(context.Context, *messenger.FindCachedPartRequest) (*messenger.FindCachedPartResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cardamompulley.messenger.v1.Gateway.FindCachedPart is not implemented"))
+}
--- a/router/internal/forwarder/cache_list.go
+++ b/router/internal/forwarder/cache_list.go
@@ -66,9 +66,9 @@
 	return &cacheLists{pool: p, clock: clock, byProcess: map[model.EndpointProcess]*cacheList{}}
 }
 
-// kept returns the number of tokens that an endpoint keeps of a part.
-func (l *cacheLists) kept(ctx context.Context, e *cataloguer.Endpoint, key cachedPartKey) (model.Tokens, error) {
-	list := l.list(e)
+// kept returns the number of tokens that an endpoint keeps of a part, by a list that is younger than maxAge.
+func (l *cacheLists) kept(ctx context.Context, e *cataloguer.Endpoint, key cachedPartKey, maxAge timekeeper.Millis) (model.Tokens, error) {
+	list := l.list(e, maxAge)
 	select {
 	case <-list.done:
 		return list.parts[key], list.err
@@ -77,15 +77,16 @@
 	}
 }
 
-// list returns the newest list of an endpoint and starts to read it if it is too old.
-func (l *cacheLists) list(e *cataloguer.Endpoint) *cacheList {
+// list returns the newest list of an endpoint and starts to read it if it is not younger than maxAge.
+func (l *cacheLists) list(e *cataloguer.Endpoint, maxAge timekeeper.Millis) *cacheList {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if list, ok := l.byProcess[e.Process()]; ok && l.clock.Now()-list.readAt < cacheListLifetime {
-		return list
+	previous, isKnown := l.byProcess[e.Process()]
+	if isKnown && l.clock.Now()-previous.readAt < min(maxAge, cacheListLifetime) {
+		return previous
 	}
 	list := &cacheList{done: make(chan struct{}), readAt: l.clock.Now()}
-	if len(l.byProcess) >= maxCacheLists {
+	if !isKnown && len(l.byProcess) >= maxCacheLists {
 		list.err = errTooManyLists
 		close(list.done)
 
--- a/router/internal/forwarder/cache_list_test.go
+++ b/router/internal/forwarder/cache_list_test.go
@@ -31,22 +31,26 @@
 	}
 	key := cachedPartKey{id: 0xa, model: "m"}
 	for range 10 {
-		if kept, err := lists.kept(t.Context(), endpoint(0), key); kept != 7 || err != nil {
+		if kept, err := lists.kept(t.Context(), endpoint(0), key, timekeeper.Hour); kept != 7 || err != nil {
 			t.Fatalf("%d tokens are kept: %v", kept, err)
 		}
 	}
 	if calls.Load() != 1 {
 		t.Fatalf("%d lists of one endpoint", calls.Load())
 	}
+	clock.Advance(timekeeper.Second)
+	if kept, err := lists.kept(t.Context(), endpoint(0), key, timekeeper.Second); kept != 7 || err != nil || calls.Load() != 2 {
+		t.Fatalf("%d lists where one was older than asked for: %v", calls.Load(), err)
+	}
 	for n := range maxCacheLists + 10 {
-		_, err := lists.kept(t.Context(), endpoint(n), key)
+		_, err := lists.kept(t.Context(), endpoint(n), key, timekeeper.Hour)
 		if isTooMany := errors.Is(err, errTooManyLists); isTooMany != (n >= maxCacheLists) {
 			t.Fatalf("list %d: %v", n, err)
 		}
 	}
 	clock.Advance(cacheListLifetime)
 	lists.expire()
-	if kept, err := lists.kept(t.Context(), endpoint(maxCacheLists), key); kept != 7 || err != nil {
+	if kept, err := lists.kept(t.Context(), endpoint(maxCacheLists), key, timekeeper.Hour); kept != 7 || err != nil {
 		t.Errorf("later, %d tokens are kept: %v", kept, err)
 	}
 }
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -42,6 +42,10 @@
 	// AskOrigin asks other gateways what they know of a stream, and returns the number of those that did not answer. Asking ends
 	// with the context.
 	AskOrigin func(context.Context, OriginQuestion) ([]resumer.Report, int)
+	// ListReader returns the address of the gateway that asks an endpoint what it has cached, empty for this one.
+	ListReader func(model.EndpointProcess) string
+	// AskKept asks another gateway how much endpoints keep of a prompt part. It leaves out the endpoints of which that is not known.
+	AskKept func(ctx context.Context, gateway string, q KeptQuestion) map[model.EndpointProcess]model.Tokens
 	// RefreshEndpoints brings the list of endpoints up to date with the store. It returns false if the store does not answer before
 	// the context ends.
 	RefreshEndpoints func(context.Context) bool
@@ -83,6 +87,8 @@
 		CurrentView:      func() *cataloguer.View { return nil },
 		IsShuttingDown:   func() bool { return false },
 		AskOrigin:        noOrigins,
+		ListReader:       asksItself,
+		AskKept:          knowsNothing,
 		SendOrigins:      func() {},
 		RefreshEndpoints: func(context.Context) bool { return false },
 		StoreSilence:     func() timekeeper.Millis { return 0 },
--- a/router/internal/forwarder/resume_endpoint.go
+++ b/router/internal/forwarder/resume_endpoint.go
@@ -1,6 +1,9 @@
 package forwarder
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/sourcegraph/conc"
@@ -11,6 +14,7 @@
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/resumer"
+	"cardamompulley/fleet/timekeeper"
 )
 
 // askedEndpoints is the number of endpoints that are asked whether they have read the prompt of a stream that a caller resumes. The
@@ -70,37 +74,136 @@
 	return resumer.SoleVersion(found.generated)
 }
 
+// KeptQuestion asks how much endpoints keep of a prompt part.
+type KeptQuestion struct {
+	Part      uint64
+	Model     model.ModelID
+	Endpoints []model.EndpointProcess
+	// MaxAge is the age beyond which what an endpoint has said does not count.
+	MaxAge timekeeper.Millis
+}
+
 // holderVersions holds the software versions of the endpoints that have generated tokens after a prompt part, and of those that have
 // at least read it.
 type holderVersions struct {
 	generated, read []model.SoftwareVersion
 }
 
-// askHolders asks endpoints how much they keep of a part. Tokens that a request has generated count to the last part of its prompt.
+// add records how much an endpoint keeps of the part. Tokens that a request has generated count to the last part of its prompt.
+func (v *holderVersions) add(e *cataloguer.Endpoint, kept model.Tokens, part model.PromptPart) {
+	if kept > part.Tokens {
+		v.generated = append(v.generated, e.Software)
+	}
+	if kept > 0 {
+		v.read = append(v.read, e.Software)
+	}
+}
+
+// askHolders asks how much endpoints keep of a part. Each endpoint is asked by one gateway, so that the number of lists that it makes
+// does not grow with the number of gateways; if that gateway does not know, this one asks the endpoint itself.
 func (p *proxiedRequest) askHolders(endpoints []*cataloguer.Endpoint, part model.PromptPart) holderVersions {
+	byReader := map[string][]*cataloguer.Endpoint{}
+	for _, e := range endpoints {
+		reader := p.forwarder.ListReader(e.Process())
+		byReader[reader] = append(byReader[reader], e)
+	}
 	var mu sync.Mutex
 	var found holderVersions
-	key := cachedPartKey{id: part.ID, model: p.metadata.Model}
 	var w conc.WaitGroup
+	for reader, group := range byReader {
+		w.Go(func() {
+			for e, kept := range p.keptByReader(reader, group, part) {
+				mu.Lock()
+				found.add(e, kept, part)
+				mu.Unlock()
+			}
+		})
+	}
+	w.Wait()
+
+	return found
+}
+
+// keptByReader returns how much endpoints keep of a part, as another gateway knows or, where it does not, as they say themselves. The
+// reader is empty if this gateway asks them.
+func (p *proxiedRequest) keptByReader(reader string, endpoints []*cataloguer.Endpoint, part model.PromptPart) map[*cataloguer.Endpoint]model.Tokens {
+	q := p.keptQuestion(endpoints, part)
+	kept := map[model.EndpointProcess]model.Tokens{}
+	if reader != "" {
+		kept = p.forwarder.AskKept(p.ctx, reader, q)
+	}
+	unknown := slices.DeleteFunc(slices.Clone(endpoints), func(e *cataloguer.Endpoint) bool {
+		_, ok := kept[e.Process()]
+
+		return ok
+	})
+	q.Endpoints = processes(unknown)
+	maps.Copy(kept, p.forwarder.Kept(p.ctx, p.view, q))
+	byEndpoint := map[*cataloguer.Endpoint]model.Tokens{}
+	for _, e := range endpoints {
+		if tokens, ok := kept[e.Process()]; ok {
+			byEndpoint[e] = tokens
+		}
+	}
+
+	return byEndpoint
+}
+
+// keptQuestion returns the question how much endpoints keep of a part. A gateway does not trust lists from before its own start: what
+// has happened until then it does not know.
+func (p *proxiedRequest) keptQuestion(endpoints []*cataloguer.Endpoint, part model.PromptPart) KeptQuestion {
+	return KeptQuestion{
+		Part: part.ID, Model: p.metadata.Model, Endpoints: processes(endpoints),
+		MaxAge: min(cacheListLifetime, p.forwarder.clock.Now()-p.forwarder.startedAt),
+	}
+}
+
+// processes returns the runs of endpoints.
+func processes(endpoints []*cataloguer.Endpoint) []model.EndpointProcess {
+	var ps []model.EndpointProcess
 	for _, e := range endpoints {
+		ps = append(ps, e.Process())
+	}
+
+	return ps
+}
+
+// Kept returns how much endpoints keep of a part, by lists that this gateway reads or has read. It leaves out endpoints that it does not
+// know and those that make no list in time.
+func (f *Forwarder) Kept(ctx context.Context, v *cataloguer.View, q KeptQuestion) map[model.EndpointProcess]model.Tokens {
+	var mu sync.Mutex
+	var w conc.WaitGroup
+	kept := map[model.EndpointProcess]model.Tokens{}
+	for _, process := range q.Endpoints {
+		e := v.Endpoint(process.ID)
+		if e == nil || e.Process() != process {
+			continue
+		}
 		w.Go(func() {
-			kept, err := p.forwarder.cacheLists.kept(p.ctx, e, key)
+			tokens, err := f.cacheLists.kept(ctx, e, cachedPartKey{id: q.Part, model: q.Model}, q.MaxAge)
 			if err != nil {
-				p.forwarder.log.Write(logger.EventCacheListUnread, logger.String("endpoint", e.ID), logger.Err(err))
+				f.log.Write(logger.EventCacheListUnread, logger.String("endpoint", e.ID), logger.Err(err))
+
+				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			if kept > part.Tokens {
-				found.generated = append(found.generated, e.Software)
-			}
-			if kept > 0 {
-				found.read = append(found.read, e.Software)
-			}
+			kept[process] = tokens
 		})
 	}
 	w.Wait()
 
-	return found
+	return kept
+}
+
+// asksItself is the reader of all lists of a gateway without others.
+func asksItself(model.EndpointProcess) string {
+	return ""
+}
+
+// knowsNothing is what a gateway without others learns from them about cached parts.
+func knowsNothing(context.Context, string, KeptQuestion) map[model.EndpointProcess]model.Tokens {
+	return map[model.EndpointProcess]model.Tokens{}
 }
 
 // arePartsOwn reports whether the last prompt parts of a service's requests are seen to belong to one request each.
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -103,6 +103,8 @@
 	g.forwarder.StateReady = g.viewReady
 	g.forwarder.StoreSilence = g.storeSilence
 	g.forwarder.AskOrigin = g.peers.askOrigin
+	g.forwarder.ListReader = g.peers.listReader
+	g.forwarder.AskKept = g.peers.askKept
 	g.forwarder.RefreshEndpoints = g.refreshEndpoints
 	g.forwarder.SendOrigins = g.peers.originSender.wake
 	g.forwarder.IsShuttingDown = g.isShuttingDown.Load
