Attempts that a gateway ends itself say why, with the figure

Change: attempt-failed, stream-cut and refusals name the request's time or the caller that has gone.

--- a/fleet/logger/logger.go
+++ b/fleet/logger/logger.go
@@ -50,7 +50,7 @@
 }
 
 // maxValueBytes bounds the texts in a log line, which may come from callers, endpoints or the store.
-const maxValueBytes = 512
+const maxValueBytes = 2048
 
 // String returns a field with a string value, of which a long one is cut.
 func String[T ~string](name string, value T) Field {
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -92,6 +92,7 @@
 
 // newFailure returns the failure of an attempt. It is final if no other attempt can help.
 func (p *proxiedRequest) newFailure(err error, failure retrier.AttemptFailure) *dispatcher.Failure {
+	err = p.nameOwnEnd(err)
 	failure.IsFinal = p.cannotRetry()
 	refusal := model.NewRefusal(model.CodeEndpointFailed, "the endpoint did not serve the request: "+err.Error()).
 		WithRetryAfter(endpointFailureRetryAfter)
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -129,6 +129,7 @@
 
 // abortResponse closes the caller's connection, so that a truncated response cannot look complete. It does not return.
 func (p *proxiedRequest) abortResponse(err error) {
+	err = p.nameOwnEnd(err)
 	streamsInterrupted.Inc()
 	p.forwarder.log.Write(logger.EventStreamInterrupted, append(p.logFields(), logger.Err(err))...)
 	panic(http.ErrAbortHandler)
