A few gateways of each failure domain read the store, the others follow them

Ruled out: first reads at starts and reads after lapses are some 600 of them; a longer pause after news would delay cold ends and drains. Change: sourcer ranks the gateways of a domain, one reader to four followers, two at least; a follower waits at its reader for changes. What it learns bears the time at which the store said so; a reader that does not answer in 0.4 of the tightest bound, or has not heard the store for 0.4 of it, is not followed for 5 s and the store is looked at at once. A new process, one with something due after a restore, changes over 8 KB, lost history and another era go to the store as before. New setting config-apply-ms.

--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -39,6 +39,7 @@
 	EventEndpointUnreadable       = Event{222, "endpoint-unreadable", levelWarn, "An entry of the endpoint list is invalid and was ignored."}
 	EventOriginCallFailed         = Event{223, "origin-call-failed", levelWarn, "Another gateway did not answer a call about the origins of streams; origins are sent again."}
 	EventCachedPartCallFailed     = Event{224, "cached-part-call-failed", levelWarn, "Another gateway did not answer a call about cached prompt parts; the endpoints are asked directly."}
+	EventReaderDistrusted         = Event{225, "reader-distrusted", levelWarn, "A gateway that reads the store for this one has not kept it up to date; this one looks at the store itself."}
 	EventEndpointDown             = Event{300, "endpoint-down", levelWarn, "The endpoint does not respond."}
 	EventEndpointUp               = Event{301, "endpoint-up", levelInfo, "The endpoint responds again; it may be cold."}
 	EventEndpointCold             = Event{302, "endpoint-cold", levelWarn, "The endpoint is cold again."}
@@ -76,7 +77,7 @@
 		EventPeerExchangeFailed, EventVMListUnreachable, EventProcessRefused,
 		EventStoreUnreachable, EventStoreReachable, EventRangeReplaced, EventGatewayUnreachable, EventGatewayReachable,
 		EventDomainOutOfService, EventDomainInService, EventStoreRestored, EventHistoryRead, EventHistoryUnread, EventEndpointAdded, EventEndpointRemoved, EventEndpointUnreadable,
-		EventOriginCallFailed, EventCachedPartCallFailed,
+		EventOriginCallFailed, EventCachedPartCallFailed, EventReaderDistrusted,
 		EventEndpointDown, EventEndpointUp, EventEndpointCold, EventEndpointDraining, EventOutlierDetected, EventOutlierRecovered,
 		EventEndpointLimited, EventEndpointUnlimited, EventCacheListUnread,
 		EventEndpointSaysLeaving,
--- a/fleet/messenger/messengerconnect/gateway.connect.go
+++ b/fleet/messenger/messengerconnect/gateway.connect.go
@@ -39,6 +39,8 @@
 	GatewayRecordOriginsProcedure = "/cardamompulley.messenger.v1.Gateway/RecordOrigins"
 	// GatewayFindOriginProcedure is the fully-qualified name of the Gateway's FindOrigin RPC.
 	GatewayFindOriginProcedure = "/cardamompulley.messenger.v1.Gateway/FindOrigin"
+	// GatewayFollowStoreProcedure is the fully-qualified name of the Gateway's FollowStore RPC.
+	GatewayFollowStoreProcedure = "/cardamompulley.messenger.v1.Gateway/FollowStore"
 	// GatewayFindCachedPartProcedure is the fully-qualified name of the Gateway's FindCachedPart RPC.
 	GatewayFindCachedPartProcedure = "/cardamompulley.messenger.v1.Gateway/FindCachedPart"
 )
@@ -52,6 +54,8 @@
 	RecordOrigins(context.Context, *messenger.RecordOriginsRequest) (*messenger.RecordOriginsResponse, error)
 	// FindOrigin asks what a gateway knows of the software version that began a stream.
 	FindOrigin(context.Context, *messenger.FindOriginRequest) (*messenger.FindOriginResponse, error)
+	// FollowStore waits until the receiver, which reads the store, knows changes that the caller lacks, or until the time to wait is over.
+	FollowStore(context.Context, *messenger.FollowStoreRequest) (*messenger.FollowStoreResponse, error)
 	// FindCachedPart asks how much endpoints keep of a prompt part. The gateway reads their lists unless it has done so a short time ago.
 	FindCachedPart(context.Context, *messenger.FindCachedPartRequest) (*messenger.FindCachedPartResponse, error)
 }
@@ -85,6 +89,12 @@
 			connect.WithSchema(gatewayMethods.ByName("FindOrigin")),
 			connect.WithClientOptions(opts...),
 		),
+		followStore: connect.NewClient[messenger.FollowStoreRequest, messenger.FollowStoreResponse](
+			httpClient,
+			baseURL+GatewayFollowStoreProcedure,
+			connect.WithSchema(gatewayMethods.ByName("FollowStore")),
+			connect.WithClientOptions(opts...),
+		),
 		findCachedPart: connect.NewClient[messenger.FindCachedPartRequest, messenger.FindCachedPartResponse](
 			httpClient,
 			baseURL+GatewayFindCachedPartProcedure,
@@ -99,6 +109,7 @@
 	trade          *connect.Client[messenger.TradeRequest, messenger.TradeResponse]
 	recordOrigins  *connect.Client[messenger.RecordOriginsRequest, messenger.RecordOriginsResponse]
 	findOrigin     *connect.Client[messenger.FindOriginRequest, messenger.FindOriginResponse]
+	followStore    *connect.Client[messenger.FollowStoreRequest, messenger.FollowStoreResponse]
 	findCachedPart *connect.Client[messenger.FindCachedPartRequest, messenger.FindCachedPartResponse]
 }
 
@@ -129,6 +140,15 @@
 	return nil, err
 }
 
+// FollowStore calls cardamompulley.messenger.v1.Gateway.FollowStore.
+func (c *gatewayClient) FollowStore(ctx context.Context, req *messenger.FollowStoreRequest) (*messenger.FollowStoreResponse, error) {
+	response, err := c.followStore.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // FindCachedPart calls cardamompulley.messenger.v1.Gateway.FindCachedPart.
 func (c *gatewayClient) FindCachedPart(ctx context.Context, req *messenger.FindCachedPartRequest) (*messenger.FindCachedPartResponse, error) {
 	response, err := c.findCachedPart.CallUnary(ctx, connect.NewRequest(req))
@@ -147,6 +167,8 @@
 	RecordOrigins(context.Context, *messenger.RecordOriginsRequest) (*messenger.RecordOriginsResponse, error)
 	// FindOrigin asks what a gateway knows of the software version that began a stream.
 	FindOrigin(context.Context, *messenger.FindOriginRequest) (*messenger.FindOriginResponse, error)
+	// FollowStore waits until the receiver, which reads the store, knows changes that the caller lacks, or until the time to wait is over.
+	FollowStore(context.Context, *messenger.FollowStoreRequest) (*messenger.FollowStoreResponse, error)
 	// FindCachedPart asks how much endpoints keep of a prompt part. The gateway reads their lists unless it has done so a short time ago.
 	FindCachedPart(context.Context, *messenger.FindCachedPartRequest) (*messenger.FindCachedPartResponse, error)
 }
@@ -176,6 +198,12 @@
 		connect.WithSchema(gatewayMethods.ByName("FindOrigin")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayFollowStoreHandler := connect.NewUnaryHandlerSimple(
+		GatewayFollowStoreProcedure,
+		svc.FollowStore,
+		connect.WithSchema(gatewayMethods.ByName("FollowStore")),
+		connect.WithHandlerOptions(opts...),
+	)
 	gatewayFindCachedPartHandler := connect.NewUnaryHandlerSimple(
 		GatewayFindCachedPartProcedure,
 		svc.FindCachedPart,
@@ -190,6 +218,8 @@
 			gatewayRecordOriginsHandler.ServeHTTP(w, r)
 		case GatewayFindOriginProcedure:
 			gatewayFindOriginHandler.ServeHTTP(w, r)
+		case GatewayFollowStoreProcedure:
+			gatewayFollowStoreHandler.ServeHTTP(w, r)
 		case GatewayFindCachedPartProcedure:
 			gatewayFindCachedPartHandler.ServeHTTP(w, r)
 		default:
@@ -213,6 +243,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cardamompulley.messenger.v1.Gateway.FindOrigin is not implemented"))
 }
 
+func (UnimplementedGatewayHandler) FollowStore(context.Context, *messenger.FollowStoreRequest) (*messenger.FollowStoreResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cardamompulley.messenger.v1.Gateway.FollowStore is not implemented"))
+}
+
 func (UnimplementedGatewayHandler) FindCachedPart(context.Context, *messenger.FindCachedPartRequest) (*messenger.FindCachedPartResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cardamompulley.messenger.v1.Gateway.FindCachedPart is not implemented"))
 }
--- a/fleet/replicator/replica.go
+++ b/fleet/replicator/replica.go
@@ -116,6 +116,16 @@
 	r.lastPeerContact = max(r.lastPeerContact, at)
 }
 
+// RecordRelayedContact records what another process, which this one follows in place of the store, has told: that the store answered it
+// at the given time. If this ends an outage, deletions are deferred during the grace period.
+func (r *Replica) RecordRelayedContact(at, now timekeeper.Millis) {
+	known := max(r.lastContact, r.lastPeerContact)
+	if r.OutageThreshold > 0 && r.hasSynced && known > 0 && at-known >= r.OutageThreshold {
+		r.deferUntil = now + r.RewriteTime
+	}
+	r.RecordPeerContact(at)
+}
+
 // Replace replaces the replica's items by the whole range as the store held it at a position, at the time readAt or later, and
 // reports whether anything changed. It ignores a range that is older than the replica.
 func (r *Replica) Replace(items []Item, at Position, readAt, now timekeeper.Millis) bool {
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/replicator"
+	"cardamompulley/fleet/sourcer"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/platform"
 	"cardamompulley/router/internal/connector"
@@ -66,8 +67,15 @@
 	// storePosition is that of the store's last answer.
 	storePosition replicator.Position
 	decoded       *decodedState
-	refresh       refreshState
-	startedAt     timekeeper.Millis
+	// storeKnown is the time up to which both ranges are known as the store held them.
+	storeKnown listTime
+	// changed is closed and replaced when a replica has learned of changes.
+	changed chan struct{}
+	// lastFollowedAt is when another gateway last followed this one.
+	lastFollowedAt timekeeper.Millis
+	sourcer        *sourcer.Sourcer
+	refresh        refreshState
+	startedAt      timekeeper.Millis
 }
 
 // NewGateway returns a gateway without a view; it is not ready until Run has obtained one.
@@ -94,6 +102,8 @@
 			IsOutdated:      isOutdatedEntry,
 		}),
 		decoded:   newDecodedState(),
+		changed:   make(chan struct{}),
+		sourcer:   sourcer.NewSourcer(s.PeerListen, sourcer.NewTiming(min(s.DrainTime, s.ConfigurationTime)), clock.Now()),
 		startedAt: clock.Now(),
 		viewReady: make(chan struct{}),
 	}
--- a/router/internal/gateway/peer_selector.go
+++ b/router/internal/gateway/peer_selector.go
@@ -38,6 +38,11 @@
 	}
 }
 
+// sameDomainGateways returns the gateways that are known to be in this gateway's failure domain.
+func (s *peerSelector) sameDomainGateways() []string {
+	return slices.Clone(s.sameDomain)
+}
+
 func (s *peerSelector) remove(address string) {
 	matches := func(other string) bool { return other == address }
 	s.sameDomain = slices.DeleteFunc(s.sameDomain, matches)
--- a/router/internal/gateway/range_copies.go
+++ b/router/internal/gateway/range_copies.go
@@ -21,7 +21,13 @@
 	if !peerState.GetSynced() || !isDelta {
 		items, isDelta = r.LiveItems(), false
 	}
-	c := &messenger.RangeCopy{AsOf: r.Synced().Revision, Era: uint64(r.Synced().Era), Changes: isDelta}
+
+	return encodeCopy(items, r.Synced(), isDelta)
+}
+
+// encodeCopy returns a copy of a range, or of the changes in it, as of a position.
+func encodeCopy(items []replicator.Item, at replicator.Position, isDelta bool) *messenger.RangeCopy {
+	c := &messenger.RangeCopy{AsOf: at.Revision, Era: uint64(at.Era), Changes: isDelta}
 	for _, item := range items {
 		c.Items = append(c.Items, &messenger.StoredItem{
 			Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.IsDeleted,
@@ -31,6 +37,19 @@
 	return c
 }
 
+// decodeCopy returns the items of a copy and the position that it is as of.
+func decodeCopy(c *messenger.RangeCopy) (replicator.Position, []replicator.Item) {
+	at := replicator.Position{Era: replicator.Era(c.GetEra()), Revision: c.GetAsOf()}
+	items := make([]replicator.Item, 0, len(c.GetItems()))
+	for _, item := range c.GetItems() {
+		items = append(items, replicator.Item{
+			Key: item.Key, Value: item.Value, Position: replicator.Position{Era: at.Era, Revision: item.Revision}, IsDeleted: item.Deleted,
+		})
+	}
+
+	return at, items
+}
+
 // peerPosition returns the position of a peer's replica. A peer that knows no era is taken to be in the era of r.
 func peerPosition(peerState *messenger.RangeState, r *replicator.Replica) replicator.Position {
 	era := replicator.Era(peerState.GetEra())
@@ -55,13 +74,7 @@
 	if c == nil {
 		return
 	}
-	at := replicator.Position{Era: replicator.Era(c.Era), Revision: c.AsOf}
-	items := make([]replicator.Item, 0, len(c.Items))
-	for _, item := range c.Items {
-		items = append(items, replicator.Item{
-			Key: item.Key, Value: item.Value, Position: replicator.Position{Era: at.Era, Revision: item.Revision}, IsDeleted: item.Deleted,
-		})
-	}
+	at, items := decodeCopy(c)
 	p.gateway.updateReplica("peer "+name, r, func(now timekeeper.Millis) bool {
 		if c.Changes {
 			p.gateway.recordChanges(r, items, now-silence)
--- a/router/internal/gateway/settings.go
+++ b/router/internal/gateway/settings.go
@@ -33,10 +33,12 @@
 	// RecoveryTime is how soon after a fault the process must be up to date again (setting contact-ms).
 	RecoveryTime timekeeper.Millis
 	// DrainTime is how soon a gateway must stop using an endpoint that it knows to leave or to be gone (setting drain-ms).
-	DrainTime     timekeeper.Millis
-	ShutdownGrace timekeeper.Millis
-	RetryWindow   timekeeper.Millis
-	RetryRatio    float64
+	DrainTime timekeeper.Millis
+	// ConfigurationTime is how soon after its confirmation a change of the operators must be in force (setting config-apply-ms).
+	ConfigurationTime timekeeper.Millis
+	ShutdownGrace     timekeeper.Millis
+	RetryWindow       timekeeper.Millis
+	RetryRatio        float64
 	// RetrySlack is the number of retries allowed in a window in addition to RetryRatio.
 	RetrySlack float64
 	// LoadMultiple is the largest load of an endpoint, as a multiple of the mean load of its service.
@@ -52,6 +54,7 @@
 		HeartbeatInterval:   timekeeper.Second,
 		RecoveryTime:        3 * timekeeper.Second,
 		DrainTime:           2 * timekeeper.Second,
+		ConfigurationTime:   2 * timekeeper.Second,
 		ShutdownGrace:       10 * timekeeper.Second,
 		RetryWindow:         10 * timekeeper.Second,
 		RetryRatio:          0.1,
@@ -108,6 +111,7 @@
 		duration("heartbeat-ms", &s.HeartbeatInterval, "1000", "How often endpoints renew their entries in the store."),
 		duration("contact-ms", &s.RecoveryTime, "3000", "Time after a fault within which this process must be up to date again."),
 		duration("drain-ms", &s.DrainTime, "2000", "Longest use of an endpoint after this process knows that it leaves or is gone."),
+		duration("config-apply-ms", &s.ConfigurationTime, "2000", "Longest time until a confirmed change of the operators is in force."),
 		duration("shutdown-grace-ms", &s.ShutdownGrace, "10000", "Longest wait for running requests at shutdown."),
 		duration("retry-window-ms", &s.RetryWindow, "10000", "Window over which the retry budget is counted."),
 	}
--- a/router/internal/gateway/store_sync.go
+++ b/router/internal/gateway/store_sync.go
@@ -142,7 +142,7 @@
 		}
 		r.needsRead = false
 	}
-	err := g.watchStore(ctx, ranges)
+	err := g.followChanges(ctx, ranges)
 	if isHistoryLost(err) {
 		for _, r := range ranges {
 			r.needsRead = true
@@ -194,6 +194,7 @@
 	g.recordStoreResult(nil)
 	g.recordStorePosition(at)
 	g.applyEvents(ranges, events, at)
+	g.recordStoreKnown(g.clock.Now())
 	if len(events) > 0 {
 		timekeeper.Sleep(ctx, batchDelay)
 	}
@@ -206,6 +207,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wait := timekeeper.Millis(watchWaitFraction * float64(g.settings.RecoveryTime))
+	if g.isFollowed() {
+		wait = min(wait, g.sourcer.Timing.ReadWait)
+	}
 	for _, r := range ranges {
 		if next := r.replica.NextDue(); next > 0 {
 			wait = min(wait, max(next-g.clock.Now(), minWatchWait))
@@ -249,8 +253,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wasSynced := r.HasSynced()
+	before, content := r.Synced().Era, r.ContentRevision()
 	now := g.clock.Now()
 	isUpdated := update(now)
+	if r.Synced().Era != before || r.ContentRevision() != content {
+		close(g.changed)
+		g.changed = make(chan struct{})
+	}
 	isDue := r.ApplyDue(now)
 	if !isUpdated && !isDue {
 		return
