--- a/experimenter/internal/launcher/gateway_reader_test.go
+++ b/experimenter/internal/launcher/gateway_reader_test.go
@@ -29,7 +29,7 @@
 	return s
 }
 
-// readersOf returns the gateways that other gateways follow: those whose calls to the store go on while they are asked.
+// readers returns the gateways that watch the store while it changes.
 func (s *restoreSite) readers() []*launcher.Process {
 	before := map[*launcher.Process]int{}
 	for _, g := range s.Gateways {
--- a/router/internal/gateway/exchange.go
+++ b/router/internal/gateway/exchange.go
@@ -111,8 +111,8 @@
 		Domain:         uint32(balancer.HashName(p.gateway.settings.Domain)),
 		StoreSilenceMs: -1,
 	}
-	if answeredAt := p.gateway.endpointReplica.LastContact(); answeredAt > 0 {
-		news.StoreSilenceMs = int64(p.gateway.clock.Now() - answeredAt)
+	if p.gateway.storeKnown.at > 0 {
+		news.StoreSilenceMs = int64(p.gateway.silenceSince(p.gateway.storeKnown))
 	}
 	p.addRestore(news)
 	p.gateway.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) {
--- a/router/internal/gateway/origin_exchange.go
+++ b/router/internal/gateway/origin_exchange.go
@@ -204,18 +204,6 @@
 	return response, nil
 }
 
-// sameDomainReachable returns the gateways that are known to be in this gateway's failure domain and that answer.
-func (p *peers) sameDomainReachable() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	return slices.DeleteFunc(p.selector.sameDomainGateways(), func(address string) bool {
-		other, ok := p.byAddress[address]
-
-		return !ok || other.isUnreachable
-	})
-}
-
 // unreachableCount returns the number of known gateways that do not answer.
 func (p *peers) unreachableCount() int {
 	count := 0
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -184,6 +184,18 @@
 	return address
 }
 
+// sameDomainReachable returns the gateways that are known to be in this gateway's failure domain and that answer.
+func (p *peers) sameDomainReachable() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return slices.DeleteFunc(p.selector.sameDomainGateways(), func(address string) bool {
+		other, ok := p.byAddress[address]
+
+		return !ok || other.isUnreachable
+	})
+}
+
 func (p *peers) clientFor(address string) messengerconnect.GatewayClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/router/internal/gateway/software_history.go
+++ b/router/internal/gateway/software_history.go
@@ -40,7 +40,12 @@
 		return timekeeper.Hour
 	}
 
-	return at - known.at + g.clock.Suspended() - known.suspended
+	return at - g.clock.Now() + g.silenceSince(*known)
+}
+
+// silenceSince returns the time since a list, with the time for which the VM was suspended.
+func (g *Gateway) silenceSince(known listTime) timekeeper.Millis {
+	return g.clock.Now() - known.at + g.clock.Suspended() - known.suspended
 }
 
 // raiseEndpointsKnown records that the list of endpoints was known to be whole at a time. g.mu must be held.
--- a/router/internal/gateway/store_follow.go
+++ b/router/internal/gateway/store_follow.go
@@ -21,7 +21,7 @@
 
 var (
 	storeFollows = metrics.NewCounter("gateway_store_follows_total")
-	storeLooks   = metrics.NewCounter("gateway_store_watches_total")
+	storeWatches = metrics.NewCounter("gateway_store_watches_total")
 )
 
 // followChanges waits for changes once, from the store or from the gateway that reads it for this one, and applies them. If the reader
@@ -36,7 +36,7 @@
 			g.distrustReader(reader, err)
 		}
 	}
-	storeLooks.Inc()
+	storeWatches.Inc()
 
 	return g.watchStore(ctx, ranges)
 }
@@ -137,6 +137,14 @@
 	}
 }
 
+// hasStoreKnown reports whether both ranges have ever been known.
+func (g *Gateway) hasStoreKnown() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.storeKnown.at > 0
+}
+
 // isFollowed reports whether other gateways follow this one in place of the store. g.mu must be held.
 func (g *Gateway) isFollowed() bool {
 	return g.lastFollowedAt > 0 && g.clock.Now()-g.lastFollowedAt < followedTime
--- a/router/internal/gateway/store_relay.go
+++ b/router/internal/gateway/store_relay.go
@@ -44,11 +44,10 @@
 func (g *Gateway) changesFor(r *messenger.FollowStoreRequest) (*messenger.FollowStoreResponse, <-chan struct{}, listTime) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
-	g.lastFollowedAt = now
+	g.lastFollowedAt = g.clock.Now()
 	response := &messenger.FollowStoreResponse{SilenceMs: -1}
 	if g.storeKnown.at > 0 {
-		response.SilenceMs = int64(now - g.storeKnown.at + g.clock.Suspended() - g.storeKnown.suspended)
+		response.SilenceMs = int64(g.silenceSince(g.storeKnown))
 	}
 	var isOperatorWhole, areEndpointsWhole bool
 	response.Operator, isOperatorWhole = relayedChanges(r.GetOperator(), g.operatorReplica)
--- a/router/internal/gateway/store_sync.go
+++ b/router/internal/gateway/store_sync.go
@@ -133,6 +133,7 @@
 // syncRanges reads the ranges that need it in full, then waits for changes once. If the store does not have the history that
 // the watch needs, all ranges are marked for a full read.
 func (g *Gateway) syncRanges(ctx context.Context, ranges []*storeRange) error {
+	begunAt := g.clock.Now()
 	for _, r := range ranges {
 		if !r.needsRead {
 			continue
@@ -142,6 +143,9 @@
 		}
 		r.needsRead = false
 	}
+	if !g.hasStoreKnown() {
+		g.recordStoreKnown(begunAt)
+	}
 	err := g.followChanges(ctx, ranges)
 	if isHistoryLost(err) {
 		for _, r := range ranges {
