--- a/router/internal/gateway/earlier_items.go
+++ b/router/internal/gateway/earlier_items.go
@@ -13,14 +13,7 @@
 	if !peerState.GetRecent() || !isRestored {
 		return nil
 	}
-	e := &messenger.EarlierItems{AsOf: r.Synced().Revision, Era: uint64(r.Synced().Era)}
-	for _, item := range r.Earlier() {
-		e.Items = append(e.Items, &messenger.StoredItem{
-			Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.IsDeleted,
-		})
-	}
-
-	return e
+	return &messenger.EarlierItems{AsOf: r.Synced().Revision, Era: uint64(r.Synced().Era), Items: encodeItems(r.Earlier())}
 }
 
 // applyEarlierItems updates a replica by what a peer knows from before the store was restored, if anything.
--- a/router/internal/gateway/range_copies.go
+++ b/router/internal/gateway/range_copies.go
@@ -27,14 +27,19 @@
 
 // encodeCopy returns a copy of a range, or of the changes in it, as of a position.
 func encodeCopy(items []replicator.Item, at replicator.Position, isDelta bool) *messenger.RangeCopy {
-	c := &messenger.RangeCopy{AsOf: at.Revision, Era: uint64(at.Era), Changes: isDelta}
+	return &messenger.RangeCopy{AsOf: at.Revision, Era: uint64(at.Era), Changes: isDelta, Items: encodeItems(items)}
+}
+
+// encodeItems returns items of the store in a message. Their era stands beside them.
+func encodeItems(items []replicator.Item) []*messenger.StoredItem {
+	var encoded []*messenger.StoredItem
 	for _, item := range items {
-		c.Items = append(c.Items, &messenger.StoredItem{
+		encoded = append(encoded, &messenger.StoredItem{
 			Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.IsDeleted,
 		})
 	}
 
-	return c
+	return encoded
 }
 
 // decodeCopy returns the items of a copy and the position that it is as of.
