--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/router ] && [ -x review/target/review ] || { echo "not built"; exit 2; }
-exec review/target/review encoded-slash review/3
+exec review/target/review repeated-pieces review/3
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -22,13 +21,14 @@
 	deadline time.Duration
 	// session makes the request one with a prompt, of this session.
 	session int
-	// prompt is the first part of the prompt, the system prompt that requests share; zero is the usual one.
-	prompt int
-	body   []byte
+	body    []byte
 	// upload is how long the client takes to send the body, in pieces; zero is at once.
 	upload time.Duration
 }
 
+// systemPrompt is the first part of all prompts.
+const systemPrompt = 0x5c1e0000
+
 // answer is what a client has received.
 type answer struct {
 	status      int
@@ -51,8 +51,7 @@
 	}
 	if c.session > 0 {
 		fmt.Fprintf(&b, "Cardamompulley-Model: m\r\nCardamompulley-Token-Counts: 830,300\r\n")
-		prompt := cmp.Or(c.prompt, 0x5c1e0000)
-		fmt.Fprintf(&b, "Cardamompulley-Prompt-Prefix: %x:512,%x:580,%s:130\r\n", prompt, prompt+c.session, c.attempt)
+		fmt.Fprintf(&b, "Cardamompulley-Prompt-Prefix: %x:512,%x:580,%s:130\r\n", systemPrompt, systemPrompt+c.session, c.attempt)
 	}
 	if len(c.body) > 0 {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(c.body))
--- a/review/standin/recover.go
+++ b/review/standin/recover.go
@@ -7,7 +7,16 @@
 	"time"
 )
 
-func init() { cases["refused-after-crash"] = playRefusedAfterCrash }
+func init() {
+	faults := map[string]finalFault{
+		"refused-after-both":  {killsGateways: true, crashesRunners: true},
+		"refused-after-kill":  {killsGateways: true},
+		"refused-after-crash": {crashesRunners: true},
+	}
+	for name, f := range faults {
+		cases[name] = func(w *world) (bool, error) { return playFinalFault(w, f) }
+	}
+}
 
 const (
 	// recovery is recovery-s of the site.
@@ -19,9 +28,14 @@
 	draftEvents = 40
 )
 
-// playRefusedAfterCrash has all runners of one domain crash once, while clients begin to use a new system prompt, and looks at what is
-// served when they have long been back.
-func playRefusedAfterCrash(w *world) (bool, error) {
+// finalFault says what strikes in the middle of the traffic.
+type finalFault struct {
+	killsGateways, crashesRunners bool
+}
+
+// playFinalFault has all gateways be killed and start again, and all runners of one domain crash once a second and a half after that,
+// and looks at what is served when all have long been back.
+func playFinalFault(w *world, f finalFault) (bool, error) {
 	w.putConfiguration(7, draftRoute)
 	answer := streamOf(draftEvents, draftPause, func(_ string, n int) string { return fmt.Sprintf("words %d", n) })
 	start := func(boot int) ([]*runner, error) {
@@ -46,11 +60,14 @@
 	traffic := newTraffic(w)
 	go traffic.run()
 	time.Sleep(8 * time.Second)
-	traffic.setPrompt(0x77aa0000)
-	w.note("clients begin to use another system prompt")
-	time.Sleep(1500 * time.Millisecond)
 	faultAt := time.Now()
-	if w.hasTrouble {
+	if w.hasTrouble && f.killsGateways {
+		if err := w.killAllGateways(); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if w.hasTrouble && f.crashesRunners {
 		for _, r := range runners {
 			r.crash()
 		}
@@ -68,6 +85,28 @@
 	return traffic.judge(faultAt, backAt), nil
 }
 
+// killAllGateways kills all gateways at once and starts them again a second later.
+func (w *world) killAllGateways() error {
+	for _, g := range w.gateways {
+		g.kill()
+	}
+	w.note("all gateways are killed")
+	time.Sleep(time.Second)
+	for _, g := range w.gateways {
+		if err := g.start(); err != nil {
+			return err
+		}
+	}
+	for _, g := range w.gateways {
+		if err := g.waitReady(5 * time.Second); err != nil {
+			return err
+		}
+	}
+	w.note("all gateways are back")
+
+	return nil
+}
+
 // sent is a request of the traffic and what became of it.
 type sent struct {
 	at     time.Time
@@ -81,19 +120,12 @@
 	done  chan struct{}
 	wait  sync.WaitGroup
 
-	mu     sync.Mutex
-	prompt int
-	all    []sent
+	mu  sync.Mutex
+	all []sent
 }
 
 func newTraffic(w *world) *traffic {
-	return &traffic{world: w, done: make(chan struct{}), prompt: 0x5c1e0000}
-}
-
-func (t *traffic) setPrompt(prompt int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.prompt = prompt
+	return &traffic{world: w, done: make(chan struct{})}
 }
 
 func (t *traffic) run() {
@@ -110,13 +142,10 @@
 }
 
 func (t *traffic) send(n int) {
-	t.mu.Lock()
-	prompt := t.prompt
-	t.mu.Unlock()
 	s := sent{at: time.Now()}
 	c := call{
 		gateway: t.world.gateways[n%4], method: http.MethodPost, path: fmt.Sprintf("/lohu930/%02x", n%200), attempt: fmt.Sprintf("9c41d07be2a3%04x", n),
-		key: clientKey, deadline: 12 * time.Second, session: 1 + n%24, prompt: prompt, body: make([]byte, 12000),
+		key: clientKey, deadline: 12 * time.Second, session: 1 + n%24, body: make([]byte, 12000),
 	}
 	a := c.do()
 	list, _ := events(a.body)
