--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start, into review/target/. It needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-GOWORK=off go build -trimpath -o ../target/review .
+GOWORK=off go test -c -trimpath -o ../target/review .
--- a/review/standin/config.go
+++ b/review/standin/config_test.go
@@ -1,4 +1,4 @@
-package main
+package review
 
 // route is a route of the configuration.
 type route struct {
--- a/review/standin/main.go
+++ b/review/standin/main_test.go
@@ -1,10 +1,12 @@
-// Command review plays one case of the review: it starts the project's gateways as separate processes and plays the store, the
-// runners and the clients around them.
-package main
+// Package review plays the cases of the review: it starts the project's gateways as separate processes and plays the store, the
+// runners and the clients around them. All of it is test code; review/build.sh builds it as a program of its own, which takes the name
+// of a case and the folder for its record.
+package review
 
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
 // Exit codes of a case.
@@ -17,7 +19,8 @@
 // cases holds the function of each case. It returns whether the rule was broken.
 var cases = map[string]func(w *world) (bool, error){}
 
-func main() {
+// TestMain plays the case that the arguments name, in place of tests.
+func TestMain(*testing.M) {
 	os.Exit(run())
 }
 
--- a/review/standin/recover.go
+++ b/review/standin/recover_test.go
@@ -1,4 +1,4 @@
-package main
+package review
 
 import (
 	"fmt"
