Platform: each figure of an endpoint's load is read by itself, with a fourth one

Cause: a load header with any other number of figures than three, or with one figure that could not be read, was dropped as a whole.

Change: platform.Load has presence for each count and Slowdown (1 as usual, 0 not told; bounded; no number, negative or infinite ignored). Request lines have endpoint-slowdown-percent.

--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -77,7 +77,7 @@
 		return p.failAfterSend(conn, errResponseMismatch)
 	}
 	p.advertisedLimit = metadata.Limit
-	p.endpointLoad, p.hasEndpointLoad = metadata.Load.Running+metadata.Load.Waiting, metadata.HasLoad
+	p.endpointLoad = metadata.Load
 	p.endpointLeaves, p.endpointBackoff = metadata.IsLeaving, metadata.Backoff
 	p.forwarder.recordLimit(endpoint, metadata, sentAt)
 	p.forwarder.recordNotices(endpoint, metadata)
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -42,8 +42,11 @@
 			logger.Int("attempts", p.endpointsReached))
 	}
 
-	if p.hasEndpointLoad {
-		fields = append(fields, logger.Int("endpoint-load", p.endpointLoad))
+	if held, ok := p.endpointLoad.Held(); ok {
+		fields = append(fields, logger.Int("endpoint-load", held))
+	}
+	if s := p.endpointLoad.Slowdown; s > 0 {
+		fields = append(fields, logger.Int("endpoint-slowdown-percent", int(100*s)))
 	}
 	if p.metadata.LastEventID != "" {
 		fields = append(fields, logger.String("resumes", p.metadata.Resumes), logger.String("last-event", p.metadata.LastEventID))
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -64,10 +64,9 @@
 	endpointBackoff timekeeper.Millis
 	// advertisedLimit is the number of requests a second that the last endpoint has advertised, zero if none.
 	advertisedLimit float64
-	// endpointLoad is the number of requests that the last endpoint has said it holds; it counts only if hasEndpointLoad is true.
-	endpointLoad    int
-	hasEndpointLoad bool
-	stream          streamState
+	// endpointLoad is the load that the last endpoint has reported.
+	endpointLoad platform.Load
+	stream       streamState
 	// errorEndpoints are the endpoints that have responded with an error status.
 	errorEndpoints []model.EndpointID
 	// errorResponse is the error response of the last attempt, nil if it had none. It is relayed if no attempt follows.
