Gossip: placements of the longest parts first, also in short messages

Over half of the exchanges under load were short and told no placements; of the rest about half were over the limit of a message and were never told. Most of what was told were the first parts of prompts, which lie at all endpoints.

Ruled out: parts evicted by endpoints (few), the lifetime of placements.

Change: placements know the length of their part; over the limit the longest are told. Short messages carry 12.

--- a/fleet/balancer/choose.go
+++ b/fleet/balancer/choose.go
@@ -27,22 +27,11 @@
 	c.Reports, c.ReportAge = b.ReportAge(now)
 	c.NeedsPrefill = !contains(b.holders.Holders(locator.HashPart(r.Session), now), c.Endpoint.ID)
 	c.CacheSource = b.cacheSource(v, r, c.Endpoint, now)
-	b.recordPlacement(r, c.Endpoint.ID, now)
+	b.recordPlacement(v, r, c.Endpoint, now)
 
 	return c, nil
 }
 
-// recordPlacement records that an endpoint processes the shared parts of a prompt, and queues new placements for other
-// gateways.
-func (b *Balancer) recordPlacement(r Request, id model.EndpointID, now timekeeper.Millis) {
-	for _, p := range r.SharedParts {
-		part := locator.HashPart(p.ID)
-		if b.holders.Record(part, id, now) {
-			b.PlacementLog.Add(locator.Placement{Part: part, Endpoint: id})
-		}
-	}
-}
-
 func contains(ids []model.EndpointID, id model.EndpointID) bool {
 	for _, other := range ids {
 		if other == id {
--- a/fleet/locator/locator_test.go
+++ b/fleet/locator/locator_test.go
@@ -51,3 +51,15 @@
 		t.Fatalf("got %v up to %d", none, again)
 	}
 }
+
+// Guards against short messages whose few placements spare hardly any prefill.
+func TestSinceReturnsTheLongestPartsInOrder(t *testing.T) {
+	var j PlacementLog
+	for n, tokens := range []model.Tokens{9000, 100, 200, 12000, 100} {
+		j.Add(Placement{Part: PartHash(n), Tokens: tokens})
+	}
+	got, end := j.Since(0, 3)
+	if len(got) != 3 || got[0].Part != 0 || got[1].Part != 2 || got[2].Part != 3 || end != 5 {
+		t.Fatalf("got %v up to %d", got, end)
+	}
+}
--- a/fleet/locator/placement_log.go
+++ b/fleet/locator/placement_log.go
@@ -1,6 +1,11 @@
 package locator
 
-import "cardamompulley/fleet/model"
+import (
+	"cmp"
+	"slices"
+
+	"cardamompulley/fleet/model"
+)
 
 // maxPlacements is the maximum length of a placement log; the oldest placements are dropped.
 const maxPlacements = 512
@@ -9,6 +14,8 @@
 type Placement struct {
 	Part     PartHash
 	Endpoint model.EndpointID
+	// Tokens is the length of the part: what a gateway that does not know the placement may have processed again.
+	Tokens model.Tokens
 }
 
 // PlacementLog holds the newest placements made by this process, numbered consecutively, for exchange with other gateways.
@@ -27,13 +34,32 @@
 }
 
 // Since returns the placements from a sequence number on and the sequence number to continue from. If more than limit
-// placements match, it returns the newest ones.
+// placements match, it returns those of the longest parts, the newest ones among equals.
 func (l *PlacementLog) Since(sequence uint64, limit int) ([]Placement, uint64) {
 	end := l.firstSequence + uint64(len(l.placements))
 	start := min(max(sequence, l.firstSequence), end)
-	if end-start > uint64(limit) {
-		start = end - uint64(limit)
+
+	return longestParts(l.placements[start-l.firstSequence:], limit), end
+}
+
+// longestParts returns the placements of the longest parts in their order, limit at most.
+func longestParts(ps []Placement, limit int) []Placement {
+	if len(ps) <= limit {
+		return slices.Clone(ps)
+	}
+	indexes := make([]int, len(ps))
+	for i := range indexes {
+		indexes[i] = i
+	}
+	slices.SortFunc(indexes, func(i, j int) int {
+		return cmp.Or(cmp.Compare(ps[j].Tokens, ps[i].Tokens), cmp.Compare(j, i))
+	})
+	indexes = indexes[:limit]
+	slices.Sort(indexes)
+	longest := make([]Placement, 0, limit)
+	for _, i := range indexes {
+		longest = append(longest, ps[i])
 	}
 
-	return append([]Placement(nil), l.placements[start-l.firstSequence:]...), end
+	return longest
 }
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -26,8 +26,9 @@
 	storeStartupWait = 300 * timekeeper.Millis(1)
 	// restoreNewsLifetime is how long a gateway tells others that the store was restored.
 	restoreNewsLifetime = timekeeper.Minute
-	// maxPlacements is the maximum number of placements in one message.
-	maxPlacements = 40
+	// maxPlacements is the maximum number of placements in a full message, shortPlacements in a short one.
+	maxPlacements   = 40
+	shortPlacements = 12
 	// compressMinBytes is the size from which answers are compressed: lists of changes of the store. Gossip consists of hashes.
 	compressMinBytes = 1024
 	// maxReportBytes is the maximum size of the load reports in one message.
--- a/router/internal/gateway/placements.go
+++ b/router/internal/gateway/placements.go
@@ -6,8 +6,7 @@
 	"cardamompulley/fleet/locator"
 )
 
-// placementsFor returns the encoded placements not sent to a gateway yet, and the number of the first one after them. It returns none
-// while messages are short.
+// placementsFor returns the encoded placements not sent to a gateway yet, and the number of the first one after them.
 func (p *peers) placementsFor(address string) ([]byte, uint64) {
 	p.mu.Lock()
 	from := uint64(0)
@@ -15,13 +14,14 @@
 		from = other.nextPlacement
 	}
 	p.mu.Unlock()
+	limit := maxPlacements
 	if p.areMessagesShort() {
-		return nil, from
+		limit = shortPlacements
 	}
 	var unsent []locator.Placement
 	next := from
 	p.gateway.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) {
-		unsent, next = b.PlacementLog.Since(from, maxPlacements)
+		unsent, next = b.PlacementLog.Since(from, limit)
 	})
 
 	return encodePlacements(unsent), next
