Balancer: an attempt that did not begin to answer leaves no holder behind

Cause: a choice records at once that its endpoint holds the prompt.

Ruled out: leaving out endpoints that a request has tried; one that was full may hold the prompt.

Change: at the end of an attempt without a served answer or an event, the parts that were new by its choice are forgotten and no longer told to other gateways.

--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -65,6 +65,8 @@
 	NeedsPrefill bool
 	// CacheSource is an endpoint from which the chosen one can fetch cached parts of the prompt that it lacks, or nil.
 	CacheSource *cataloguer.Endpoint
+	// newParts are the shared parts that the endpoint is expected to hold only because of this choice.
+	newParts []locator.PartHash
 }
 
 // endpointState is what a gateway tracks for one endpoint.
--- a/fleet/balancer/choose.go
+++ b/fleet/balancer/choose.go
@@ -27,7 +27,7 @@
 	c.Reports, c.ReportAge = b.ReportAge(now)
 	c.NeedsPrefill = !contains(b.holders.Holders(locator.HashPart(r.Session), now), c.Endpoint.ID)
 	c.CacheSource = b.cacheSource(v, r, c.Endpoint, now)
-	b.recordPlacement(v, r, c.Endpoint, now)
+	c.newParts = b.recordPlacement(v, r, c.Endpoint, now)
 
 	return c, nil
 }
--- a/fleet/balancer/placement.go
+++ b/fleet/balancer/placement.go
@@ -11,18 +11,40 @@
 // another if that ends.
 const enoughHolders = 2
 
-// recordPlacement records that an endpoint processes the shared parts of a prompt, and queues for other gateways what they need to know.
+// recordPlacement records that an endpoint processes the shared parts of a prompt, and queues for other gateways what they need to know. It returns the
+// parts that the endpoint was not known to hold.
 //
 // Load that it answers: the first parts of prompts are shared by many sessions and come to lie at all endpoints of a service. To tell each
 // of these placements would take the bytes that gateways may exchange from the placements of sessions, which lie at one endpoint.
-func (b *Balancer) recordPlacement(v *cataloguer.View, r Request, e *cataloguer.Endpoint, now timekeeper.Millis) {
+func (b *Balancer) recordPlacement(v *cataloguer.View, r Request, e *cataloguer.Endpoint, now timekeeper.Millis) []locator.PartHash {
+	var newParts []locator.PartHash
 	for _, p := range r.SharedParts {
 		part := locator.HashPart(p.ID)
 		hasEnough := b.countSources(v, b.holders.Holders(part, now), e) >= enoughHolders
-		if b.holders.Record(part, e.ID, now) && !hasEnough {
+		if !b.holders.Record(part, e.ID, now) {
+			continue
+		}
+		newParts = append(newParts, part)
+		if !hasEnough {
 			b.PlacementLog.Add(locator.Placement{Part: part, Endpoint: e.ID, Tokens: p.Tokens})
 		}
 	}
+
+	return newParts
+}
+
+// RecordAttemptEnd corrects what the choice of an endpoint has recorded, once the attempt there has ended. An endpoint that has not begun to
+// answer has not processed the prompt: others must neither be sent there for it nor fetch it from there.
+func (b *Balancer) RecordAttemptEnd(v *cataloguer.View, r Request, c Choice, hasBegun bool, now timekeeper.Millis) {
+	if hasBegun {
+		b.recordPlacement(v, r, c.Endpoint, now)
+
+		return
+	}
+	for _, part := range c.newParts {
+		b.holders.Forget(part, c.Endpoint.ID)
+		b.PlacementLog.Withdraw(part, c.Endpoint.ID)
+	}
 }
 
 // countSources returns how many of the endpoints are reachable and run the software of an endpoint, which can fetch from these.
--- a/fleet/balancer/placement_test.go
+++ b/fleet/balancer/placement_test.go
@@ -27,3 +27,42 @@
 		}
 	}
 }
+
+// Guards against sources of prompts that were never read: endpoints that fail requests at once seem to hold the prompts of all of them.
+func TestFailedAttemptsLeaveNoHolders(t *testing.T) {
+	v := newView(1, 4)
+	b := newTestBalancer()
+	r := sessionRequest()
+	holder, _ := b.Choose(v, r, 0)
+	b.RecordAttemptEnd(v, r, holder, true, 10)
+	overload(b, holder.Endpoint.ID)
+	failing, _ := b.Choose(v, r, 20)
+	b.RecordAttemptEnd(v, r, failing, false, 30)
+	r.Tried = []model.EndpointID{failing.Endpoint.ID}
+	next, _ := b.Choose(v, r, 30)
+	if next.Endpoint == failing.Endpoint || next.CacheSource != holder.Endpoint {
+		t.Fatalf("after a failure at %s: %s with cache source %v, want the holder %s", failing.Endpoint.ID, next.Endpoint.ID, next.CacheSource, holder.Endpoint.ID)
+	}
+	b.RecordAttemptEnd(v, r, next, false, 40)
+	for _, p := range first(b.PlacementLog.Since(0, maxTrackedParts)) {
+		if p.Endpoint != holder.Endpoint.ID {
+			t.Errorf("other gateways are told that %s holds a part", p.Endpoint)
+		}
+	}
+}
+
+// Guards against forgetting a holder because one of its requests failed.
+func TestFailedAttemptsKeepEarlierHolders(t *testing.T) {
+	v := newView(1, 4)
+	b := newTestBalancer()
+	r := sessionRequest()
+	holder, _ := b.Choose(v, r, 0)
+	b.RecordAttemptEnd(v, r, holder, true, 10)
+	again, _ := b.Choose(v, r, 20)
+	b.RecordAttemptEnd(v, r, again, false, 30)
+	if next, _ := b.Choose(v, r, 40); next.Endpoint != holder.Endpoint || next.NeedsPrefill {
+		t.Fatalf("chose %s, needs prefill %t; want the holder %s", next.Endpoint.ID, next.NeedsPrefill, holder.Endpoint.ID)
+	}
+}
+
+func first[T any](value T, _ uint64) T { return value }
--- a/fleet/locator/locator.go
+++ b/fleet/locator/locator.go
@@ -1,6 +1,8 @@
 package locator
 
 import (
+	"slices"
+
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"cardamompulley/fleet/hasher"
@@ -59,6 +61,15 @@
 	return isNew
 }
 
+// Forget removes an endpoint from the holders of a prompt part.
+func (l *Locator) Forget(part PartHash, id model.EndpointID) {
+	current, ok := l.holdersByPart.Peek(part)
+	if !ok {
+		return
+	}
+	l.holdersByPart.Add(part, slices.DeleteFunc(slices.Clone(current), func(h cacheHolder) bool { return h.endpoint == id }))
+}
+
 // Holders returns the endpoints that hold a prompt part, the most recently used first.
 func (l *Locator) Holders(part PartHash, now timekeeper.Millis) []model.EndpointID {
 	current, _ := l.holdersByPart.Get(part)
--- a/fleet/locator/locator_test.go
+++ b/fleet/locator/locator_test.go
@@ -63,3 +63,26 @@
 		t.Fatalf("got %v up to %d", got, end)
 	}
 }
+
+func TestSinceLeavesOutWithdrawnPlacements(t *testing.T) {
+	var j PlacementLog
+	for _, id := range []model.EndpointID{"a", "b", "c"} {
+		j.Add(Placement{Part: 1, Endpoint: id})
+	}
+	j.Withdraw(1, "b")
+	got, end := j.Since(0, 3)
+	if len(got) != 2 || got[0].Endpoint != "a" || got[1].Endpoint != "c" || end != 3 {
+		t.Fatalf("got %v up to %d", got, end)
+	}
+}
+
+func TestForgetRemovesOneHolder(t *testing.T) {
+	l := NewLocator(2, 100)
+	l.Record(1, "a", 0)
+	l.Record(1, "b", 0)
+	l.Forget(1, "a")
+	l.Forget(2, "a")
+	if got := l.Holders(1, 0); !slices.Equal(got, []model.EndpointID{"b"}) {
+		t.Fatalf("holders = %v, want b", got)
+	}
+}
--- a/fleet/locator/placement_log.go
+++ b/fleet/locator/placement_log.go
@@ -33,19 +33,31 @@
 	}
 }
 
+// Withdraw removes a placement that has turned out to be wrong. Who has been told of it is not told of the withdrawal.
+func (l *PlacementLog) Withdraw(part PartHash, id model.EndpointID) {
+	for i := range l.placements {
+		if p := &l.placements[i]; p.Part == part && p.Endpoint == id {
+			*p = Placement{}
+		}
+	}
+}
+
 // Since returns the placements from a sequence number on and the sequence number to continue from. If more than limit
 // placements match, it returns those of the longest parts, the newest ones among equals.
 func (l *PlacementLog) Since(sequence uint64, limit int) ([]Placement, uint64) {
 	end := l.firstSequence + uint64(len(l.placements))
 	start := min(max(sequence, l.firstSequence), end)
 
-	return longestParts(l.placements[start-l.firstSequence:], limit), end
+	unsent := slices.Clone(l.placements[start-l.firstSequence:])
+	unsent = slices.DeleteFunc(unsent, func(p Placement) bool { return p == Placement{} })
+
+	return longestParts(unsent, limit), end
 }
 
 // longestParts returns the placements of the longest parts in their order, limit at most.
 func longestParts(ps []Placement, limit int) []Placement {
 	if len(ps) <= limit {
-		return slices.Clone(ps)
+		return ps
 	}
 	indexes := make([]int, len(ps))
 	for i := range indexes {
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -127,6 +127,9 @@
 	defer p.forwarder.recordFinish(p.choice.Endpoint.ID)
 	p.errorResponse = nil
 	p.hasReached, p.isAnswered, p.isServedUnframed = false, false, false
+	p.stream.hasEvents = false
+	isServed := false
+	defer func() { p.recordPlacementResult(isServed) }()
 	defer p.recordUnanswered()
 	p.coordinatePrefill()
 	defer func() { p.finishPrefill() }()
@@ -134,7 +137,10 @@
 		return &dispatcher.Failure{AttemptFailure: retrier.AttemptFailure{IsFinal: true}, Refusal: refusal, Err: refusal}
 	}
 
-	return p.sendToEndpoint()
+	failure := p.sendToEndpoint()
+	isServed = failure == nil
+
+	return failure
 }
 
 // coordinatePrefill keeps a burst of requests of a new session from prefilling their shared prompt several times at one
