Locator: an endpoint's age counts from the start of its process

Cause: which endpoint holds a session that this gateway has not placed is guessed by rank among endpoints known for 20 s. The other way round, a process that started again under the same ID counted as known for as long as the one before.

Change: RunningSince in place of FirstSeen, by the start that the entry tells (a start in the future, or none, counts as now), anew for each process.

--- a/fleet/balancer/cache_source.go
+++ b/fleet/balancer/cache_source.go
@@ -8,7 +8,7 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
-// minSourceAge is how long an endpoint must have been known before it is expected to hold the prompts of its sessions.
+// minSourceAge is how long an endpoint must have run before it is expected to hold the prompts of its sessions.
 const minSourceAge = 20 * timekeeper.Second
 
 // cacheSource returns the endpoint from which the chosen one can fetch the longest cached part of the prompt that it lacks,
@@ -45,14 +45,14 @@
 }
 
 // likelyHolder guesses which endpoint holds a session whose placement is not known here: other gateways will have sent it to
-// the reachable endpoint that ranks first among those known for minSourceAge. It returns nil if that is the chosen endpoint, or
+// the reachable endpoint that ranks first among those that have run for minSourceAge. It returns nil if that is the chosen endpoint, or
 // one of another software version.
 func (b *Balancer) likelyHolder(endpoints []*cataloguer.Endpoint, session uint64, chosen *cataloguer.Endpoint, now timekeeper.Millis) *cataloguer.Endpoint {
 	var best *cataloguer.Endpoint
 	var bestScore uint64
 	for _, e := range endpoints {
 		s := b.state(e.ID)
-		if now-e.FirstSeen < minSourceAge || !s.breaker.IsClosed() {
+		if now-e.RunningSince < minSourceAge || !s.breaker.IsClosed() {
 			continue
 		}
 		if score := hasher.Mix(session ^ s.seed); best == nil || score > bestScore {
--- a/fleet/cataloguer/endpoint.go
+++ b/fleet/cataloguer/endpoint.go
@@ -22,8 +22,9 @@
 	ColdRemaining timekeeper.Millis
 	// ColdUntil is the end of the cold start on the clock of this process.
 	ColdUntil timekeeper.Millis
-	// FirstSeen is the time at which this process first saw the endpoint.
-	FirstSeen timekeeper.Millis
+	// RunningSince is the time on the clock of this process since which the endpoint's process has run: by its start if that is known,
+	// else the time at which it was first seen.
+	RunningSince timekeeper.Millis
 }
 
 // Process returns the run of the endpoint that wrote the entry.
--- a/router/internal/gateway/decode_test.go
+++ b/router/internal/gateway/decode_test.go
@@ -62,3 +62,35 @@
 		t.Error("an entry that was written again was ignored")
 	}
 }
+
+// Guards against a gateway that has just started and takes no endpoint to hold any prompt, and against a restarted endpoint that is taken to
+// hold those of the process before.
+func TestRunningSinceFollowsTheProcess(t *testing.T) {
+	const wall = 1_000_000
+	g := &Gateway{clock: timekeeper.NewSystemClock(), log: logger.NewDiscard()}
+	now := timekeeper.Millis(5000)
+	g.clock.Now = func() timekeeper.Millis { return now }
+	g.clock.Wall = func() timekeeper.Millis { return wall + now }
+	decode := func(revision uint64, born int, previous decodedEndpoint) decodedEndpoint {
+		p := replicator.Position{Era: 1, Revision: revision}
+
+		return g.decodeEndpoint(entryItem(t, p, false, born, 0), previous)
+	}
+	first := decode(1, wall-60_000, decodedEndpoint{})
+	if got := first.endpoint.RunningSince; got != -60_000 {
+		t.Errorf("seen late: running since %d", got)
+	}
+	now = 9000
+	if got := decode(2, wall-60_000, first).endpoint.RunningSince; got != -60_000 {
+		t.Errorf("a change of the entry: running since %d", got)
+	}
+	if got := decode(3, wall+8000, first).endpoint.RunningSince; got != 8000 {
+		t.Errorf("another process: running since %d", got)
+	}
+	if got := decode(4, wall+20_000, first).endpoint.RunningSince; got != now {
+		t.Errorf("a start in the future: running since %d", got)
+	}
+	if got := decode(5, 0, decodedEndpoint{}).endpoint.RunningSince; got != now {
+		t.Errorf("an unknown start: running since %d", got)
+	}
+}
