--- a/fleet/locator/locator_test.go
+++ b/fleet/locator/locator_test.go
@@ -51,3 +51,38 @@
 		t.Fatalf("got %v up to %d", none, again)
 	}
 }
+
+// Guards against short messages whose few placements spare hardly any prefill.
+func TestSinceReturnsTheLongestPartsInOrder(t *testing.T) {
+	var j PlacementLog
+	for n, tokens := range []model.Tokens{9000, 100, 200, 12000, 100} {
+		j.Add(Placement{Part: PartHash(n), Tokens: tokens})
+	}
+	got, end := j.Since(0, 3)
+	if len(got) != 3 || got[0].Part != 0 || got[1].Part != 2 || got[2].Part != 3 || end != 5 {
+		t.Fatalf("got %v up to %d", got, end)
+	}
+}
+
+func TestSinceLeavesOutWithdrawnPlacements(t *testing.T) {
+	var j PlacementLog
+	for _, id := range []model.EndpointID{"a", "b", "c"} {
+		j.Add(Placement{Part: 1, Endpoint: id})
+	}
+	j.Withdraw(1, "b")
+	got, end := j.Since(0, 3)
+	if len(got) != 2 || got[0].Endpoint != "a" || got[1].Endpoint != "c" || end != 3 {
+		t.Fatalf("got %v up to %d", got, end)
+	}
+}
+
+func TestForgetRemovesOneHolder(t *testing.T) {
+	l := NewLocator(2, 100)
+	l.Record(1, "a", 0)
+	l.Record(1, "b", 0)
+	l.Forget(1, "a")
+	l.Forget(2, "a")
+	if got := l.Holders(1, 0); !slices.Equal(got, []model.EndpointID{"b"}) {
+		t.Fatalf("holders = %v, want b", got)
+	}
+}
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -64,10 +64,9 @@
 	endpointBackoff timekeeper.Millis
 	// advertisedLimit is the number of requests a second that the last endpoint has advertised, zero if none.
 	advertisedLimit float64
-	// endpointLoad is the number of requests that the last endpoint has said it holds; it counts only if hasEndpointLoad is true.
-	endpointLoad    int
-	hasEndpointLoad bool
-	stream          streamState
+	// endpointLoad is the load that the last endpoint has reported.
+	endpointLoad platform.Load
+	stream       streamState
 	// errorEndpoints are the endpoints that have responded with an error status.
 	errorEndpoints []model.EndpointID
 	// errorResponse is the error response of the last attempt, nil if it had none. It is relayed if no attempt follows.
@@ -128,6 +127,9 @@
 	defer p.forwarder.recordFinish(p.choice.Endpoint.ID)
 	p.errorResponse = nil
 	p.hasReached, p.isAnswered, p.isServedUnframed = false, false, false
+	p.stream.hasEvents = false
+	isServed := false
+	defer func() { p.recordPlacementResult(isServed) }()
 	defer p.recordUnanswered()
 	p.coordinatePrefill()
 	defer func() { p.finishPrefill() }()
@@ -135,7 +137,10 @@
 		return &dispatcher.Failure{AttemptFailure: retrier.AttemptFailure{IsFinal: true}, Refusal: refusal, Err: refusal}
 	}
 
-	return p.sendToEndpoint()
+	failure := p.sendToEndpoint()
+	isServed = failure == nil
+
+	return failure
 }
 
 // coordinatePrefill keeps a burst of requests of a new session from prefilling their shared prompt several times at one
