Refused callers come back staggered within their time; prompts are found again after a loss of all gateways

Cause: all gateways of the second demand site are killed at 35.5 s, up at 36.0, and the store answers 503 until 37.7: each refused all that waited within 2 ms with 500 ms, all came back together at 36.8, still without a configuration, and were lost. Lines of these refusals named no request. After the restart no holder of a prompt was guessed for 20 s, because endpoints counted as known since the gateway's start.

Ruled out: holding callers until the store is back (what can't be served is refused at once); a retry time by the caller's priority before a configuration (not known then).

Change: the forwarder asks fleet/deferrer for the Retry-After where refusals are written. Metadata is decoded before the look for a view. Once two calls to the store and one to another gateway have failed, requests are refused at once instead of after 300 ms. Without a view the store is asked every 200 ms (within half of the calls that it serves for all gateways), other gateways every 125 ms. The time for which an endpoint is known goes by its own start. Refusals on quarantines, software and shutdown keep their times.

--- a/fleet/balancer/obstacle.go
+++ b/fleet/balancer/obstacle.go
@@ -140,7 +140,7 @@
 }
 
 // refusal returns the refusal of a request that no endpoint can take. Its code says so if no endpoint runs the software version
-// that the request is for, other than endpoints that drain.
+// that the request is for, other than endpoints that drain. If all endpoints leave or none is there, nothing tells when another one comes.
 func (o *obstacleCount) refusal(id model.ServiceID) *model.Refusal {
 	detail := fmt.Sprintf("no endpoint of %s can take the request%s", id, o.summary())
 
@@ -149,7 +149,12 @@
 		code = model.CodeSoftwareGone
 	}
 
-	return model.NewRefusal(code, detail).WithRetryAfter(o.retryAfter())
+	refusal := model.NewRefusal(code, detail).WithRetryAfter(o.retryAfter())
+	if o.areAll(ObstacleDraining, ObstacleDomainOut, ObstacleSoftware, ObstacleLeaving) {
+		return refusal.AsUnforeseen()
+	}
+
+	return refusal
 }
 
 // summary returns the numbers of endpoints by obstacle, or nothing if the service has no endpoint.
--- a/fleet/cataloguer/endpoint.go
+++ b/fleet/cataloguer/endpoint.go
@@ -22,7 +22,7 @@
 	ColdRemaining timekeeper.Millis
 	// ColdUntil is the end of the cold start on the clock of this process.
 	ColdUntil timekeeper.Millis
-	// FirstSeen is the time at which this process first saw the endpoint.
+	// FirstSeen is the time at which this process first saw the run of the endpoint or, if earlier, at which the run began by its own word.
 	FirstSeen timekeeper.Millis
 }
 
--- a/fleet/model/refusal.go
+++ b/fleet/model/refusal.go
@@ -61,7 +61,8 @@
 var ErrRefused = errors.New("model: refused")
 
 // Refusal is the error returned for a request that was not served. NextEndpoint, if set, is the endpoint to try next, and
-// RetryAfter the time to wait before a retry. IsFinal means that a retry at another endpoint cannot succeed.
+// RetryAfter the time to wait before a retry: the earliest at which it can succeed. IsFinal means that a retry at another endpoint cannot
+// succeed. IsUnforeseen means that nothing tells when a retry can succeed; RetryAfter is then the least time that it takes.
 type Refusal struct {
 	Code         Code
 	Detail       string
@@ -69,6 +70,7 @@
 	RetryAfter   timekeeper.Millis
 	NextEndpoint EndpointID
 	IsFinal      bool
+	IsUnforeseen bool
 }
 
 // NewRefusal returns a refusal of a request that was not executed.
@@ -100,6 +102,13 @@
 	return r
 }
 
+// AsUnforeseen marks the refusal as one of which nothing tells when a retry can succeed, and returns it.
+func (r *Refusal) AsUnforeseen() *Refusal {
+	r.IsUnforeseen = true
+
+	return r
+}
+
 // WithNextEndpoint sets the endpoint to try next and returns the refusal.
 func (r *Refusal) WithNextEndpoint(id EndpointID) *Refusal {
 	r.NextEndpoint = id
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -4,13 +4,13 @@
 	"context"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"cardamompulley/fleet/balancer"
 	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/deferrer"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/quarantiner"
@@ -56,6 +56,9 @@
 	BodyStallTimeout timekeeper.Millis
 	// StateReady is closed once the process has its first configuration and list of endpoints.
 	StateReady <-chan struct{}
+	// IsStateComing reports whether the first configuration and list of endpoints can be there soon: it is false once the store and other
+	// gateways are known not to give them.
+	IsStateComing func() bool
 
 	clock     timekeeper.Clock
 	log       logger.Logger
@@ -79,6 +82,7 @@
 	maxSilence      timekeeper.Millis
 	partOwners      map[model.ServiceID]*resumer.PartOwners
 	cacheLists      *cacheLists
+	returns         *deferrer.Deferrer
 }
 
 // NewForwarder returns a forwarder that sends requests over the connections of a pool. Its exported fields
@@ -98,6 +102,7 @@
 		StoreSilence:     func() timekeeper.Millis { return 0 },
 		BodyStallTimeout: defaultBodyStallTimeout,
 		StateReady:       make(chan struct{}),
+		IsStateComing:    func() bool { return true },
 		clock:            clock,
 		log:              log,
 		pool:             p,
@@ -115,6 +120,7 @@
 		maxSilence:       l.MaxSilence,
 		partOwners:       map[model.ServiceID]*resumer.PartOwners{},
 		cacheLists:       newCacheLists(p, clock),
+		returns:          deferrer.NewDeferrer(),
 	}
 }
 
@@ -134,8 +140,8 @@
 
 // ServeHTTP forwards a caller's request to an endpoint and writes the response, or refuses the request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.waitForState(r.Context())
 	p := newProxiedRequest(f, w, r)
+	f.waitForState(r.Context())
 	defer func() { p.cancel() }()
 	defer p.releaseBody()
 	if refusal := p.prepare(); refusal != nil {
@@ -148,30 +154,6 @@
 	p.run()
 }
 
-// maxStartupWait is how long after the start of the process requests wait for its first configuration and endpoints.
-const maxStartupWait = 300 * timekeeper.Millis(1)
-
-// waitForState delays requests that arrive just after the start of the process until its first state has been loaded, so
-// that they need not be refused.
-func (f *Forwarder) waitForState(ctx context.Context) {
-	select {
-	case <-f.StateReady:
-		return
-	default:
-	}
-	remaining := f.startedAt + maxStartupWait - f.clock.Now()
-	if remaining <= 0 {
-		return
-	}
-	timer := time.NewTimer(remaining.Duration())
-	defer timer.Stop()
-	select {
-	case <-f.StateReady:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // chooseEndpoint selects an endpoint and counts the request as running there until recordFinish is called.
 func (f *Forwarder) chooseEndpoint(v *cataloguer.View, request balancer.Request) (balancer.Choice, *model.Refusal) {
 	f.mu.Lock()
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -92,6 +92,7 @@
 // one only once the endpoint has turned out to be alive.
 func (p *proxiedRequest) recordServed(status int, isFramed bool) {
 	requestsServed.Inc()
+	p.forwarder.recordAnswer(p.service)
 	if status < 300 && isFramed {
 		p.forwarder.clearSuspects(p.suspects)
 	}
@@ -114,16 +115,17 @@
 		requestsQuarantined.Inc()
 	}
 	status := platform.HTTPStatus(r)
+	back := p.deferReturn(r)
 	p.forwarder.log.Write(logger.EventRequestRefused, append(p.logFields(),
 		logger.Int("status", status), logger.String("code", r.Code),
 		logger.String("outcome", r.Outcome), logger.String("detail", r.Detail),
-		logger.Int("retry-after-ms", r.RetryAfter))...)
+		logger.Int("retry-after-ms", back.After), logger.Int("return-window-ms", back.Window))...)
 	h := p.writer.Header()
 	if p.metadata.AttemptID != "" {
 		platform.SetAttemptID(h, p.metadata.AttemptID)
 	}
-	if r.RetryAfter > 0 && r.Outcome == model.OutcomeNotRun {
-		platform.SetRetryAfter(h, r.RetryAfter)
+	if back.After > 0 && r.Outcome == model.OutcomeNotRun {
+		platform.SetRetryAfter(h, back.After)
 	}
 	text := r.Detail + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/router/internal/forwarder/prepare.go
+++ b/router/internal/forwarder/prepare.go
@@ -16,11 +16,11 @@
 // forwarded.
 func (p *proxiedRequest) prepare() *model.Refusal {
 	p.view = p.forwarder.CurrentView()
-	if p.view == nil {
-		return model.NewRefusal(model.CodeNotReady, "no configuration is known yet").WithRetryAfter(earlyRefusalRetryAfter)
-	}
 	metadata, err := platform.DecodeRequestMetadata(p.request.Header)
 	p.metadata = metadata
+	if p.view == nil {
+		return p.notReadyRefusal()
+	}
 	if err != nil {
 		return model.NewRefusal(model.CodeBadRequest, err.Error())
 	}
--- a/router/internal/gateway/decode.go
+++ b/router/internal/gateway/decode.go
@@ -11,6 +11,7 @@
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/replicator"
 	"cardamompulley/fleet/resumer"
+	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/platform"
 )
 
@@ -153,10 +154,9 @@
 
 		return decodedEndpoint{item: item}
 	}
-	e.FirstSeen = g.clock.Now()
+	e.FirstSeen = g.runningSince(&e, previous.endpoint)
 	if previous.endpoint != nil {
 		g.markOriginsUncertain(&e, previous.endpoint)
-		e.FirstSeen = previous.endpoint.FirstSeen
 	}
 	if e.ColdRemaining > 0 {
 		e.ColdUntil = g.clock.Now() + e.ColdRemaining
@@ -166,6 +166,21 @@
 	return decodedEndpoint{item: item, endpoint: &e}
 }
 
+// runningSince returns the time at which this process first saw a run of an endpoint or, if that was earlier, at which the run began by its
+// own word. This process may have started long after the endpoint, so that only its word tells for how long others have used it. A VM
+// whose clock is behind knows it later.
+func (g *Gateway) runningSince(e, previous *cataloguer.Endpoint) timekeeper.Millis {
+	if previous != nil && previous.StartedAt == e.StartedAt {
+		return previous.FirstSeen
+	}
+	now := g.clock.Now()
+	if e.StartedAt <= 0 {
+		return now
+	}
+
+	return now - max(g.clock.Wall()-e.StartedAt, 0)
+}
+
 // logEndpointChange logs an endpoint that was added, has started to drain, or is cold in a later change of its entry.
 func (g *Gateway) logEndpointChange(e, previous *cataloguer.Endpoint, p replicator.Position) {
 	fields := append([]logger.Field{
--- a/router/internal/gateway/decode_test.go
+++ b/router/internal/gateway/decode_test.go
@@ -62,3 +62,35 @@
 		t.Error("an entry that was written again was ignored")
 	}
 }
+
+// After all gateways have died, nobody knows where prompts are cached. A new gateway goes by the endpoints' word on when they began, so that
+// it can guess holders from the start; a run that has begun anew, or a clock that is wrong, gives none that is older than it is.
+func TestEndpointsOwnStartCounts(t *testing.T) {
+	clock := timekeeper.NewManualClock(1_000_000)
+	g := &Gateway{clock: clock.Clock(), log: logger.NewDiscard()}
+	seen := func(revision uint64, born int, previous decodedEndpoint) (decodedEndpoint, timekeeper.Millis) {
+		d := g.decodeEndpoint(entryItem(t, replicator.Position{Era: 1, Revision: revision}, false, born, 0), previous)
+
+		return d, d.endpoint.FirstSeen
+	}
+	first, at := seen(1, 940_000, decodedEndpoint{})
+	if at != 940_000 {
+		t.Errorf("an endpoint that began 60 s ago counts as known for %d ms", 1_000_000-at)
+	}
+	clock.StepWall(-timekeeper.Hour)
+	clock.Advance(timekeeper.Second)
+	second, at := seen(2, 940_000, first)
+	if at != 940_000 {
+		t.Errorf("the same run is known since %d after a step of the clock", at)
+	}
+	if _, at = seen(3, 990_000, second); at != 1_001_000 {
+		t.Errorf("a new run, in the future of a clock that is behind, is known since %d, want now", at)
+	}
+	clock.StepWall(timekeeper.Hour)
+	if _, at = seen(4, 1_000_500, second); at != 1_000_500 {
+		t.Errorf("a run that began 500 ms ago is known since %d", at)
+	}
+	if _, at = seen(5, 0, decodedEndpoint{}); at != 1_001_000 {
+		t.Errorf("an endpoint that does not say when it began is known since %d", at)
+	}
+}
--- a/router/internal/gateway/exchange.go
+++ b/router/internal/gateway/exchange.go
@@ -20,6 +20,7 @@
 	request := p.newRequest(address)
 	if request.Operator.Wanted || request.Endpoints.Wanted {
 		defer p.isCopying.Store(false)
+		defer p.gateway.recordCopyAsked()
 	}
 	placements, next := p.placementsFor(address)
 	request.Placements = placements
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -76,6 +76,7 @@
 	sourcer        *sourcer.Sourcer
 	refresh        refreshState
 	startedAt      timekeeper.Millis
+	firstState     firstState
 }
 
 // NewGateway returns a gateway without a view; it is not ready until Run has obtained one.
@@ -112,6 +113,7 @@
 	g.peers = newPeers(g)
 	g.forwarder.CurrentView = g.view.Load
 	g.forwarder.StateReady = g.viewReady
+	g.forwarder.IsStateComing = g.isStateComing
 	g.forwarder.StoreSilence = g.storeSilence
 	g.forwarder.AskOrigin = g.peers.askOrigin
 	g.forwarder.ListReader = g.peers.listReader
--- a/router/internal/gateway/handlers.go
+++ b/router/internal/gateway/handlers.go
@@ -31,8 +31,8 @@
 }
 
 // gauges returns the era and revision of the store, the numbers of entries that name no endpoint, of endpoints that advertise a limit,
-// say that they leave or have asked for a backoff, those of streams whose origins are remembered or were forgotten early, and the number and
-// mean age of the load reports of other gateways.
+// say that they leave or have asked for a backoff, those of streams whose origins are remembered or were forgotten early, the number and
+// mean age of the load reports of other gateways, and the number of refused callers that are still to come back.
 func (g *Gateway) gauges() string {
 	limited, leaving, backingOff := 0, 0, 0
 	reports, reportAge := 0, timekeeper.Millis(0)
@@ -42,6 +42,7 @@
 		reports, reportAge = b.ReportAge(g.clock.Now())
 	})
 	origins, evicted := g.forwarder.OriginCounts()
+	callersOut := g.forwarder.CallersOut()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	unusable := 0
@@ -54,6 +55,6 @@
 	return fmt.Sprintf("gateway_unusable_endpoint_entries %d\ngateway_store_era %d\ngateway_store_revision %d\ngateway_limited_endpoints %d\n"+
 		"gateway_leaving_endpoints %d\ngateway_backoff_endpoints %d\n"+
 		"gateway_stream_origins %d\ngateway_stream_origins_evicted_total %d\n"+
-		"gateway_load_reports %d\ngateway_load_report_age_ms %d\n",
-		unusable, g.storePosition.Era, g.storePosition.Revision, limited, leaving, backingOff, origins, evicted, reports, reportAge)
+		"gateway_load_reports %d\ngateway_load_report_age_ms %d\ngateway_refused_callers_out %d\n",
+		unusable, g.storePosition.Era, g.storePosition.Revision, limited, leaving, backingOff, origins, evicted, reports, reportAge, callersOut)
 }
--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -148,11 +148,12 @@
 	}
 }
 
-// nextInterval returns the time until the next exchange: a gateway without running requests has little to report.
+// nextInterval returns the time until the next exchange: a gateway without running requests has little to report,
+// but one without a view may need copies.
 func (p *peers) nextInterval() timekeeper.Millis {
 	isBusy := false
 	p.gateway.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) { isBusy = b.IsBusy() })
-	if isBusy {
+	if isBusy || p.gateway.view.Load() == nil {
 		return gossipInterval
 	}
 
--- a/router/internal/gateway/store_sync.go
+++ b/router/internal/gateway/store_sync.go
@@ -74,7 +74,7 @@
 			g.recordStoreResult(err)
 		}
 		timekeeper.Sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, maxBackoff)
+		backoff = min(2*backoff, g.storeBackoff())
 	}
 }
 
@@ -121,6 +121,11 @@
 	g.mu.Lock()
 	wasUnreachable := g.isStoreUnreachable
 	g.isStoreUnreachable = err != nil
+	if err != nil {
+		g.firstState.storeFailures++
+	} else {
+		g.firstState.storeFailures = 0
+	}
 	g.mu.Unlock()
 	if !wasUnreachable && err != nil {
 		g.log.Write(logger.EventStoreUnreachable, logger.Err(err))
