--- a/router/internal/gateway/decode.go
+++ b/router/internal/gateway/decode.go
@@ -173,7 +173,7 @@
 		return previous.RunningSince
 	}
 	now := g.clock.Now()
-	if e.StartedAt == 0 {
+	if e.StartedAt <= 0 {
 		return now
 	}
 
