Prioritizer: priorities and fair shares reach the engines

Priorities of routes and accounts were decoded and read by nobody; engines got no priority header. Each gateway now maps the priorities of an engine service onto the engine's levels, promotes a tenth of the less urgent requests while the service is short, and demotes what an account sends beyond its share of the tokens. Less urgent requests leave the last third of the retry budget to the most urgent ones; the sum stays. Nothing changes where all priorities of a service are equal.

--- a/experimenter/internal/prover/gateway_request.go
+++ b/experimenter/internal/prover/gateway_request.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"cardamompulley/fleet/balancer"
+	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/retrier"
@@ -131,7 +132,7 @@
 		gateways = 1
 	}
 
-	return r.gateway.retryBudget.TrySpend(r.service, gateways, s.now)
+	return r.gateway.retryBudget.TrySpend(r.service, budgeter.Draw{Gateways: gateways}, s.now)
 }
 
 // checkChoice checks that a chosen endpoint belongs to the request's service and has not been tried. Once the gateway has
--- a/fleet/budgeter/budgeter_test.go
+++ b/fleet/budgeter/budgeter_test.go
@@ -175,7 +175,7 @@
 			g.retries.RecordRequest(service, now)
 			requests = append(requests, now)
 			for range 3 {
-				if g.retries.TrySpend(service, len(g.membership.SettledMembers(now)), now) {
+				if g.retries.TrySpend(service, Draw{Gateways: len(g.membership.SettledMembers(now))}, now) {
 					retries = append(retries, now)
 				}
 			}
--- a/fleet/budgeter/retry.go
+++ b/fleet/budgeter/retry.go
@@ -1,7 +1,10 @@
 package budgeter
 
 import (
+	"math"
+
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/prioritizer"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -9,6 +12,10 @@
 // the operators' window leaves out.
 const usableShare = 0.8
 
+// reservedShare is the part of what a gateway may spend that is reserved for the most urgent requests of a service, rounded down to
+// whole retries: a budget of one or two retries is open to all.
+const reservedShare = 1.0 / 3
+
 // maxStartsPerWindow is how often a gateway may start within a window without the fleet exceeding the slack: a new process
 // does not know how many retries its predecessor has spent.
 const maxStartsPerWindow = 3
@@ -54,15 +61,28 @@
 	b.counts(id).requests.add(now)
 }
 
-// TrySpend takes one retry from the budget of a service and reports whether the share of this gateway allowed it. The slack
-// is divided among gateways; with gateways 0 there is none.
-func (b *RetryBudget) TrySpend(id model.ServiceID, gateways int, now timekeeper.Millis) bool {
+// Draw describes who draws on the budget of a service.
+type Draw struct {
+	// Gateways is the number of gateways among which the slack is divided; with 0 there is no slack.
+	Gateways int
+	// Priority is that of the request, and MostUrgent the most urgent one among the requests of the service.
+	Priority   prioritizer.Priority
+	MostUrgent prioritizer.Priority
+}
+
+// TrySpend takes one retry from the budget of a service and reports whether the share of this gateway allowed it. The last part of
+// the budget is reserved for the most urgent requests.
+func (b *RetryBudget) TrySpend(id model.ServiceID, d Draw, now timekeeper.Millis) bool {
 	c := b.counts(id)
 	limit := b.limits.Ratio * float64(c.requests.count(now))
-	if gateways > 0 {
-		limit += b.limits.Slack / float64(gateways*maxStartsPerWindow)
+	if d.Gateways > 0 {
+		limit += b.limits.Slack / float64(d.Gateways*maxStartsPerWindow)
+	}
+	limit *= usableShare
+	if d.Priority > d.MostUrgent {
+		limit -= math.Floor(reservedShare * limit)
 	}
-	if float64(c.retries.count(now)+1) > usableShare*limit {
+	if float64(c.retries.count(now)+1) > limit {
 		return false
 	}
 	c.retries.add(now)
--- a/fleet/budgeter/retry_test.go
+++ b/fleet/budgeter/retry_test.go
@@ -32,7 +32,7 @@
 
 		return float64(attempts) / requests
 	}
-	if got := amplification(func(b *RetryBudget, now timekeeper.Millis) bool { return b.TrySpend("s", 1, now) }); got > maxPerRequest {
+	if got := amplification(func(b *RetryBudget, now timekeeper.Millis) bool { return b.TrySpend("s", Draw{Gateways: 1}, now) }); got > maxPerRequest {
 		t.Fatalf("%.2f attempts per request, want at most 1.2", got)
 	}
 	if unlimited := amplification(func(*RetryBudget, timekeeper.Millis) bool { return true }); unlimited <= maxPerRequest {
--- a/fleet/cataloguer/configuration.go
+++ b/fleet/cataloguer/configuration.go
@@ -107,6 +107,7 @@
 	routesByHost  map[string][]Route
 	accountsByKey map[string]Account
 	requiresKey   bool
+	priorities    map[model.ServiceID][]int
 }
 
 // NewConfiguration returns a configuration with routes indexed by host, longest prefix first. The accounts are indexed
@@ -132,6 +133,8 @@
 		slices.SortStableFunc(rs, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 
+	c.priorities = c.findPriorities(routes)
+
 	return c
 }
 
--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -67,6 +67,8 @@
 	EventStreamResumed            = Event{414, "stream-resumed", levelInfo, "A stream was resumed at another endpoint."}
 	EventCallerDisconnected       = Event{415, "caller-gone", levelInfo, "The caller disconnected before its response was complete."}
 	EventStreamOriginFound        = Event{416, "stream-origin", levelInfo, "A caller resumes a stream: what the gateways know of the software version that began it."}
+	EventServiceShort             = Event{422, "service-short", levelWarn, "An engine service gets more requests than its engines serve in time: what accounts send beyond their share is demoted."}
+	EventServiceShortEnded        = Event{423, "service-short-ended", levelInfo, "The engine service serves its requests in time again; nothing is demoted."}
 )
 
 // AllEvents returns all events in ascending order of their numbers.
@@ -86,6 +88,6 @@
 		EventRequestSuspected, EventRequestQuarantined, EventSuspectLearned, EventSuspectCleared, EventEndpointBackoff,
 		EventResponseMismatch, EventIncompleteResponse, EventRetryBudgetExhausted,
 		EventAttemptFailed, EventRequestServed, EventRequestRefused, EventStreamInterrupted, EventStreamResumed, EventCallerDisconnected,
-		EventStreamOriginFound,
+		EventStreamOriginFound, EventServiceShort, EventServiceShortEnded,
 	}
 }
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -81,6 +81,7 @@
 	p.endpointLeaves, p.endpointBackoff = metadata.IsLeaving, metadata.Backoff
 	p.forwarder.recordLimit(endpoint, metadata, sentAt)
 	p.forwarder.recordNotices(endpoint, metadata)
+	p.recordRejection(response.StatusCode, metadata)
 	if metadata.IsMisdirected {
 		// Another process has taken the endpoint's address, so the endpoint has ended.
 		p.forwarder.recordCrash(endpoint)
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/prioritizer"
 	"cardamompulley/fleet/quarantiner"
 	"cardamompulley/fleet/resumer"
 	"cardamompulley/fleet/timekeeper"
@@ -56,6 +57,8 @@
 	BodyStallTimeout timekeeper.Millis
 	// StateReady is closed once the process has its first configuration and list of endpoints.
 	StateReady <-chan struct{}
+	// Prioritizes is true if priorities of the configuration are passed on to engines and decide who draws on the retry budget.
+	Prioritizes bool
 
 	clock     timekeeper.Clock
 	log       logger.Logger
@@ -79,6 +82,7 @@
 	maxSilence      timekeeper.Millis
 	partOwners      map[model.ServiceID]*resumer.PartOwners
 	cacheLists      *cacheLists
+	prioritizer     *prioritizer.Prioritizer
 }
 
 // NewForwarder returns a forwarder that sends requests over the connections of a pool. Its exported fields
@@ -115,6 +119,7 @@
 		maxSilence:       l.MaxSilence,
 		partOwners:       map[model.ServiceID]*resumer.PartOwners{},
 		cacheLists:       newCacheLists(p, clock),
+		prioritizer:      newPrioritizer(log),
 	}
 }
 
@@ -209,11 +214,13 @@
 	f.retryBudget.RecordRequest(id, f.clock.Now())
 }
 
-// trySpendRetry takes a retry from the budget of a service, or returns false if the budget is exhausted.
-func (f *Forwarder) trySpendRetry(id model.ServiceID) bool {
+// trySpendRetry takes a retry from the budget of a service, or returns false if the budget is exhausted or what is left of it is for
+// more urgent requests.
+func (f *Forwarder) trySpendRetry(id model.ServiceID, d budgeter.Draw) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
+	d.Gateways = len(f.balancer.Membership.SettledMembers(now))
 
-	return f.retryBudget.TrySpend(id, len(f.balancer.Membership.SettledMembers(now)), now)
+	return f.retryBudget.TrySpend(id, d, now)
 }
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -92,12 +92,13 @@
 // one only once the endpoint has turned out to be alive.
 func (p *proxiedRequest) recordServed(status int, isFramed bool) {
 	requestsServed.Inc()
+	p.recordAnswer()
 	if status < 300 && isFramed {
 		p.forwarder.clearSuspects(p.suspects)
 	}
 	p.isServedUnframed = status < 300 && !isFramed
 	requestSeconds.Update(float64(p.forwarder.clock.Now()-p.arrivedAt) / 1000)
-	p.forwarder.log.Write(logger.EventRequestServed, append(p.logFields(), logger.Int("status", status))...)
+	p.forwarder.log.Write(logger.EventRequestServed, append(p.logFields(), append(p.priorityFields(), logger.Int("status", status))...)...)
 }
 
 // refuse responds that the request was not served.
@@ -114,10 +115,10 @@
 		requestsQuarantined.Inc()
 	}
 	status := platform.HTTPStatus(r)
-	p.forwarder.log.Write(logger.EventRequestRefused, append(p.logFields(),
+	p.forwarder.log.Write(logger.EventRequestRefused, append(append(p.logFields(),
 		logger.Int("status", status), logger.String("code", r.Code),
 		logger.String("outcome", r.Outcome), logger.String("detail", r.Detail),
-		logger.Int("retry-after-ms", r.RetryAfter))...)
+		logger.Int("retry-after-ms", r.RetryAfter)), p.priorityFields()...)...)
 	h := p.writer.Header()
 	if p.metadata.AttemptID != "" {
 		platform.SetAttemptID(h, p.metadata.AttemptID)
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -76,6 +76,7 @@
 	finishPrefill func()
 	// suspects is what is blamed if an endpoint crashes on the request.
 	suspects []quarantiner.Suspect
+	priority priorityState
 }
 
 func newProxiedRequest(f *Forwarder, w http.ResponseWriter, r *http.Request) *proxiedRequest {
@@ -97,7 +98,7 @@
 		}},
 		ChooseEndpoint: p.chooseEndpoint,
 		SendAttempt:    p.sendAttempt,
-		TrySpendRetry:  func() bool { return p.forwarder.trySpendRetry(p.service) },
+		TrySpendRetry:  p.trySpendRetry,
 		HandleFailure:  p.handleFailure,
 		Now:            p.forwarder.clock.Now,
 	}
@@ -129,6 +130,7 @@
 	p.errorResponse = nil
 	p.hasReached, p.isAnswered, p.isServedUnframed = false, false, false
 	defer p.recordUnanswered()
+	defer p.recordNoAnswer()
 	p.coordinatePrefill()
 	defer func() { p.finishPrefill() }()
 	if refusal := p.checkQuarantine(); refusal != nil {
@@ -215,7 +217,7 @@
 		Timeout:     max(p.timeLeft(), 1),
 		LastEventID: lastEventID,
 		CacheSource: cacheSource,
-		Priority:    -1,
+		Priority:    p.enginePriority(),
 	})
 
 	return &connector.Request{
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -110,6 +110,7 @@
 	g.forwarder.LimitBodyMemory(int64(bodyMemoryFraction * float64(s.MemoryMB) * (1 << 20)))
 	g.endpointsKnown.Store(&listTime{})
 	g.peers = newPeers(g)
+	g.forwarder.Prioritizes = s.Prioritizes
 	g.forwarder.CurrentView = g.view.Load
 	g.forwarder.StateReady = g.viewReady
 	g.forwarder.StoreSilence = g.storeSilence
@@ -180,6 +181,7 @@
 		isListed := func(id model.EndpointID) bool { return v.Endpoint(id) != nil }
 		g.peers.removeStale()
 		g.forwarder.ExpireLosses()
+		g.forwarder.ExpirePriorities()
 		g.forwarder.ExpireOrigins()
 		g.peers.originSender.wake()
 		g.pool.Prune(isListed)
--- a/router/internal/gateway/settings.go
+++ b/router/internal/gateway/settings.go
@@ -43,7 +43,9 @@
 	// RetrySlack is the number of retries allowed in a window in addition to RetryRatio.
 	RetrySlack float64
 	// LoadMultiple is the largest load of an endpoint, as a multiple of the mean load of its service.
-	LoadMultiple      float64
+	LoadMultiple float64
+	// Prioritizes is true if requests get the priorities of the configuration (setting prioritize).
+	Prioritizes       bool
 	MemoryMB          int
 	Cores             int
 	LogLinesPerSecond int
@@ -60,6 +62,7 @@
 		RetryWindow:         10 * timekeeper.Second,
 		RetryRatio:          0.1,
 		LoadMultiple:        2,
+		Prioritizes:         true,
 		MemoryMB:            256,
 		Cores:               1,
 		LogLinesPerSecond:   200,
@@ -123,6 +126,10 @@
 		{Name: "retry-ratio", Target: &s.RetryRatio, Default: "0.1", Check: atLeast(&s.RetryRatio, 0), Meaning: "Retries allowed for each request of a service, over all gateways."},
 		{Name: "retry-slack", Target: &s.RetrySlack, Default: "0", Check: atLeast(&s.RetrySlack, 0), Meaning: "Retries allowed in a window in addition to the ratio, over all gateways."},
 		{Name: "load-multiple", Target: &s.LoadMultiple, Default: "2", Check: atLeast(&s.LoadMultiple, 1), Meaning: "Largest load of an endpoint, as a multiple of the mean load of its service."},
+		{
+			Name: "prioritize", Target: &s.Prioritizes, Default: "true", AllowedValues: "true, false",
+			Meaning: "Whether engines are told the priorities of routes and accounts, if these differ.",
+		},
 		{
 			Name: "store-reads-per-second", Target: &s.StoreReadsPerSecond, Default: "2000", AllowedValues: "1 to 1000000",
 			Check:   loader.Range(&s.StoreReadsPerSecond, 1, maxStoreReadsPerSecond),
--- a/router/internal/submitter/submitter.go
+++ b/router/internal/submitter/submitter.go
@@ -119,7 +119,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return s.retryBudget.TrySpend(id, 1, s.follower.Clock.Now())
+	return s.retryBudget.TrySpend(id, budgeter.Draw{Gateways: 1}, s.follower.Clock.Now())
 }
 
 // clientFor returns the RPC client of the sidecar at an address.
