--- a/fleet/prioritizer/prioritizer.go
+++ b/fleet/prioritizer/prioritizer.go
@@ -1,8 +1,6 @@
 package prioritizer
 
 import (
-	"math"
-
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
@@ -18,6 +16,8 @@
 	Service  model.ServiceID
 	Account  model.AccountID
 	Priority Priority
+	// Target is the time within which an engine should begin to answer; zero if there is none.
+	Target timekeeper.Millis
 	// Tokens is the cost of the request; see Cost.
 	Tokens float64
 	// IsContinuation is true if the request goes on with a stream that has begun. It is not demoted.
@@ -38,15 +38,8 @@
 	IsPromoted bool
 	// SharePercent is the account's share of the tokens that all accounts have sent lately.
 	SharePercent int
-}
 
-// serviceState is what a gateway tracks for one service.
-type serviceState struct {
-	shortage   shortage
-	window     *tokenWindow
-	shares     fairShares
-	rotations  map[Priority]*rotation
-	lastUsedAt timekeeper.Millis
+	waiting *waitingRequest
 }
 
 // Prioritizer holds the state behind the priorities that one gateway gives to requests. It is not safe for concurrent use.
@@ -62,94 +55,96 @@
 	return &Prioritizer{OnShortage: func(model.ServiceID, bool) {}, services: map[model.ServiceID]*serviceState{}}
 }
 
-// state returns the state of a service, moved to the present.
-func (p *Prioritizer) state(id model.ServiceID, now timekeeper.Millis) *serviceState {
-	s, ok := p.services[id]
-	if !ok {
-		s = &serviceState{window: newTokenWindow(now), rotations: map[Priority]*rotation{}}
-		p.services[id] = s
-	}
-	s.lastUsedAt = now
-	s.window.advance(now)
-
-	return s
-}
-
-// Decide returns the priority of a request at the engines of its service, and counts its tokens for its account.
+// Decide returns the priority of a request at the engines of its service, and counts its tokens for its account. RecordAnswer or
+// RecordEnd follows.
 func (p *Prioritizer) Decide(scale Scale, r Request, now timekeeper.Millis) Decision {
 	if scale.IsUniform() {
 		return Decision{Level: NoLevel}
 	}
 	s := p.state(r.Service, now)
-	p.updateShortage(r.Service, s, func() { s.shortage.expire(now) })
 	band, share := s.band(r, now)
 	s.window.add(r.Account, r.Tokens, band == 0)
-	d := Decision{Level: scale.level(r.Priority, band), IsDemoted: band > 0, SharePercent: share}
-	if s.shortage.isShort && band == 0 && !r.IsContinuation && s.rotation(r.Priority).next() && d.Level > 0 {
+	d := Decision{Level: scale.level(r.Priority, band), IsDemoted: band > 0, SharePercent: share, waiting: s.wait(r, now)}
+	if s.isShort && band == 0 && !r.IsContinuation && d.Level > 0 && s.priority(r.Priority).rotation.next() {
 		d.Level, d.IsPromoted = 0, true
 	}
 
 	return d
 }
 
-// band returns the band of a request and its account's share of the tokens in percent. Requests without an account share nothing that
-// could be divided.
-func (s *serviceState) band(r Request, now timekeeper.Millis) (band, sharePercent int) {
-	if !s.shortage.isShort {
-		return 0, 0
-	}
-	s.window.generations[0].wasShort = true
-	if now-s.shares.computedAt >= shareInterval {
-		s.shares = newFairShares(s.window, now)
+// RecordAnswer records that an engine has begun to answer a request.
+func (p *Prioritizer) RecordAnswer(r Request, d Decision, now timekeeper.Millis) {
+	s := p.state(r.Service, now)
+	s.window.generations[0].served += r.Tokens
+	if w := d.waiting; w != nil && !w.isDone {
+		w.isDone = true
+		p.observe(r, now > w.dueAt, now)
 	}
-	counted := s.window.account(r.Account)
-	sharePercent = int(math.Round(100 * min(counted.sent/max(s.shares.total, 1), 1)))
-	allowed := s.shares.of(s.window.usual.accounts[r.Account])
-	switch {
-	case r.IsContinuation || r.Account == "" || counted.granted+r.Tokens <= allowed:
-		return 0, sharePercent
-	case counted.sent <= farOver*allowed:
-		return 1, sharePercent
-	default:
-		return 2, sharePercent
+}
+
+// RecordEnd records that a request has ended, whether or not an engine has begun to answer it.
+func (p *Prioritizer) RecordEnd(d Decision) {
+	if d.waiting != nil {
+		d.waiting.isDone = true
 	}
 }
 
-// RecordAnswer records that an engine has begun to answer a request, and whether it was late or full.
-func (p *Prioritizer) RecordAnswer(r Request, isBad bool, now timekeeper.Millis) {
-	s := p.state(r.Service, now)
-	s.window.generations[0].served += r.Tokens
-	p.updateShortage(r.Service, s, func() { s.shortage.observe(isBad, now) })
+// RecordRejection records that an engine has rejected a request because it is full.
+func (p *Prioritizer) RecordRejection(r Request, now timekeeper.Millis) {
+	p.observe(r, true, now)
 }
 
-// RecordRejection records that an engine has rejected a request because it is full, or has not begun to answer it in time.
-func (p *Prioritizer) RecordRejection(id model.ServiceID, now timekeeper.Millis) {
-	s := p.state(id, now)
-	p.updateShortage(id, s, func() { s.shortage.observe(true, now) })
+// observe records whether a request was answered in time.
+func (p *Prioritizer) observe(r Request, isBad bool, now timekeeper.Millis) {
+	p.state(r.Service, now).priority(r.Priority).shortage.observe(isBad, now)
+	p.updateShortage(r.Service, now)
 }
 
 // IsShort reports whether a service gets more requests than its engines serve in time.
 func (p *Prioritizer) IsShort(id model.ServiceID) bool {
 	s, ok := p.services[id]
 
-	return ok && s.shortage.isShort
+	return ok && s.isShort
 }
 
 // Expire ends shortages of which nothing is seen any more, and forgets services without requests.
 func (p *Prioritizer) Expire(now timekeeper.Millis) {
 	for id, s := range p.services {
-		p.updateShortage(id, s, func() { s.shortage.expire(now) })
+		p.updateShortage(id, now)
+		s.debts.expire(now)
 		if now-s.lastUsedAt >= serviceLifetime {
 			delete(p.services, id)
 		}
 	}
 }
 
-// updateShortage calls update and reports whether a shortage has begun or ended by it.
-func (p *Prioritizer) updateShortage(id model.ServiceID, s *serviceState, update func()) {
-	wasShort := s.shortage.isShort
-	update()
-	if s.shortage.isShort != wasShort {
-		p.OnShortage(id, s.shortage.isShort)
+// state returns the state of a service, moved to the present.
+func (p *Prioritizer) state(id model.ServiceID, now timekeeper.Millis) *serviceState {
+	s, ok := p.services[id]
+	if !ok {
+		s = &serviceState{window: newTokenWindow(now), debts: accountDebts{}, priorities: map[Priority]*priorityState{}}
+		p.services[id] = s
+	}
+	s.lastUsedAt = now
+	s.window.advance(now)
+	if now-s.checkedAt >= waitCheckInterval {
+		p.updateShortage(id, now)
+	}
+
+	return s
+}
+
+// updateShortage reports whether a shortage of a service has begun or ended.
+func (p *Prioritizer) updateShortage(id model.ServiceID, now timekeeper.Millis) {
+	s := p.services[id]
+	wasShort := s.isShort
+	s.checkWaiting(now)
+	s.isShort = false
+	for _, state := range s.priorities {
+		state.shortage.expire(now)
+		s.isShort = s.isShort || state.shortage.isShort
+	}
+	if s.isShort != wasShort {
+		p.OnShortage(id, s.isShort)
 	}
 }
--- a/fleet/prioritizer/rotation.go
+++ b/fleet/prioritizer/rotation.go
@@ -18,14 +18,3 @@
 
 	return r.position < promotedShare
 }
-
-// rotation returns the rotation of a priority.
-func (s *serviceState) rotation(p Priority) *rotation {
-	r, ok := s.rotations[p]
-	if !ok {
-		r = &rotation{}
-		s.rotations[p] = r
-	}
-
-	return r
-}
--- a/fleet/prioritizer/share.go
+++ b/fleet/prioritizer/share.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// shareInterval is how often the shares of the accounts are computed while the service is short.
+	// shareInterval is how often the shares of the accounts are computed.
 	shareInterval = 200 * timekeeper.Millis(1)
 	// usableShare is the part of what engines serve that is divided among the accounts. The rest is headroom, so that requests within
 	// their share need not wait for each other.
@@ -21,6 +21,8 @@
 	slackRequests = 2
 	// farOver is the multiple of its share beyond which an account is demoted by two bands.
 	farOver = 4
+	// dominantShare is the share of all tokens above which an account is demoted while the service is not short.
+	dominantShare = 0.2
 )
 
 // fairShares tells how many tokens each account may have sent within the window.
@@ -32,11 +34,13 @@
 	growth float64
 	slack  float64
 	total  float64
+	// span is the time that the window covers.
+	span timekeeper.Millis
 }
 
 // newFairShares divides what engines have served among the accounts that have sent requests.
 func newFairShares(w *tokenWindow, now timekeeper.Millis) fairShares {
-	sent, requests := w.sent()
+	sent, requests := w.sentByAccount()
 	total := 0.0
 	for _, tokens := range sent {
 		total += tokens
@@ -44,17 +48,28 @@
 
 	return fairShares{
 		computedAt: now,
-		level:      maxMinLevel(slices.Sorted(maps.Values(sent)), usableShare*w.served()),
+		level:      maxMinLevel(slices.Sorted(maps.Values(sent)), usableShare*w.served(now)),
 		growth:     medianGrowth(sent, w.usual.accounts),
 		slack:      slackRequests * total / float64(max(requests, 1)),
 		total:      total,
+		span:       w.span(now, windowGenerations),
 	}
 }
 
 // of returns the tokens that an account may send within the window: its max-min fair share, or what it usually sends, grown as the
 // traffic of others has grown, if that is more.
 func (s *fairShares) of(usual float64) float64 {
-	return max(s.level, usualMargin*s.growth*usual) + s.slack
+	return max(s.level+s.slack, s.grown(usual))
+}
+
+// grown returns the tokens up to which an account sends no more than its usual, grown as the traffic of others has grown.
+func (s *fairShares) grown(usual float64) float64 {
+	return usualMargin*s.growth*usual + s.slack
+}
+
+// rate returns the tokens in a millisecond that stand for an amount within the window.
+func (s *fairShares) rate(tokens float64) float64 {
+	return tokens / float64(s.span)
 }
 
 // maxMinLevel returns the level up to which each of the demands can be met so that they take a capacity together. The demands are in
--- a/fleet/prioritizer/shortage.go
+++ b/fleet/prioritizer/shortage.go
@@ -8,17 +8,17 @@
 
 const (
 	// observationHalfLife is the time in which an observation loses half of its weight.
-	observationHalfLife = timekeeper.Second
+	observationHalfLife = 2 * timekeeper.Second
 	// minBadWeight is the weight of bad observations below which no shortage begins.
 	minBadWeight = 3
 	// A shortage begins when bad observations are beginShare of all, and ends when they are less than endShare.
 	beginShare = 0.25
 	endShare   = 0.1
 	// maxSilence is the time without a bad observation after which a shortage ends.
-	maxSilence = 2 * timekeeper.Second
+	maxSilence = 3 * timekeeper.Second
 )
 
-// shortage tells from what a gateway observes whether a service gets more requests than its engines serve in time.
+// shortage tells from what a gateway observes whether requests of one priority are served in time.
 type shortage struct {
 	isShort   bool
 	good, bad float64
--- a/fleet/prioritizer/token_window.go
+++ b/fleet/prioritizer/token_window.go
@@ -10,6 +10,8 @@
 	generationLength = 2 * timekeeper.Second
 	// windowGenerations is the number of parts of a window; the newest is still filling.
 	windowGenerations = 5
+	// newestGenerations is the number of parts that show a change of what engines serve.
+	newestGenerations = 2
 	// maxAccounts bounds the client accounts that are counted in a part, and of which the usual tokens are known. Others are never
 	// demoted.
 	maxAccounts = 10_000
@@ -36,12 +38,13 @@
 	// generations holds the parts, the newest first.
 	generations [windowGenerations]generation
 	// newest is the number of the newest part since time 0.
-	newest timekeeper.Millis
-	usual  usualTokens
+	newest    timekeeper.Millis
+	startedAt timekeeper.Millis
+	usual     usualTokens
 }
 
 func newTokenWindow(now timekeeper.Millis) *tokenWindow {
-	return &tokenWindow{newest: now / generationLength, usual: usualTokens{accounts: map[model.AccountID]float64{}}}
+	return &tokenWindow{newest: now / generationLength, startedAt: now, usual: usualTokens{accounts: map[model.AccountID]float64{}}}
 }
 
 // advance drops the parts that have left the window. A part that was calm, and was followed by a calm one, counts as usual: what an
@@ -77,20 +80,18 @@
 	g.accounts[id] = counted
 }
 
-// account returns what an account has sent within the window.
-func (w *tokenWindow) account(id model.AccountID) accountTokens {
-	var sum accountTokens
+// sent returns the tokens that an account has sent within the window.
+func (w *tokenWindow) sent(id model.AccountID) float64 {
+	sum := 0.0
 	for i := range w.generations {
-		counted := w.generations[i].accounts[id]
-		sum.sent += counted.sent
-		sum.granted += counted.granted
+		sum += w.generations[i].accounts[id].sent
 	}
 
 	return sum
 }
 
-// sent returns the tokens that each account has sent within the window, and the number of requests.
-func (w *tokenWindow) sent() (byAccount map[model.AccountID]float64, requests int) {
+// sentByAccount returns the tokens that each account has sent within the window, and the number of requests.
+func (w *tokenWindow) sentByAccount() (byAccount map[model.AccountID]float64, requests int) {
 	byAccount = map[model.AccountID]float64{}
 	for i := range w.generations {
 		requests += w.generations[i].requests
@@ -102,12 +103,24 @@
 	return byAccount, requests
 }
 
-// served returns the tokens of the requests that engines have begun to answer within the window.
-func (w *tokenWindow) served() float64 {
-	total := 0.0
+// served returns the tokens of requests that engines begin to answer within the length of a window, at the lower of its rates over the
+// window and over its newest parts: engines may have just been lost.
+func (w *tokenWindow) served(now timekeeper.Millis) float64 {
+	total, newest := 0.0, 0.0
 	for i := range w.generations {
 		total += w.generations[i].served
+		if i < newestGenerations {
+			newest += w.generations[i].served
+		}
 	}
+	span := w.span(now, windowGenerations)
+
+	return min(total, newest*float64(span)/float64(w.span(now, newestGenerations)))
+}
+
+// span returns the time that a number of the newest parts covers.
+func (w *tokenWindow) span(now timekeeper.Millis, parts timekeeper.Millis) timekeeper.Millis {
+	begin := max((w.newest-parts+1)*generationLength, w.startedAt)
 
-	return total
+	return max(now-begin, generationLength)
 }
--- a/fleet/prioritizer/usual_tokens.go
+++ b/fleet/prioritizer/usual_tokens.go
@@ -14,7 +14,7 @@
 	accounts map[model.AccountID]float64
 }
 
-// add adds what accounts have sent in a calm part of a window, and forgets those that have sent nothing for long.
+// add adds what accounts have sent within their share in a calm part of a window, and forgets those that have sent nothing for long.
 func (u *usualTokens) add(sent map[model.AccountID]accountTokens) {
 	for id, tokens := range u.accounts {
 		if tokens *= usualDecay; tokens >= minUsualTokens {
@@ -25,7 +25,7 @@
 	}
 	for id, counted := range sent {
 		if _, ok := u.accounts[id]; ok || len(u.accounts) < maxAccounts {
-			u.accounts[id] += counted.sent
+			u.accounts[id] += counted.granted
 		}
 	}
 }
--- a/router/internal/forwarder/priority.go
+++ b/router/internal/forwarder/priority.go
@@ -10,7 +10,6 @@
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/prioritizer"
-	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/platform"
 )
 
@@ -25,7 +24,6 @@
 	isDecided bool
 	request   prioritizer.Request
 	decision  prioritizer.Decision
-	sentAt    timekeeper.Millis
 	// isAnswered is true once an engine has begun to answer.
 	isAnswered bool
 }
@@ -73,7 +71,6 @@
 		return int(prioritizer.NoLevel)
 	}
 	s := &p.priority
-	s.sentAt = p.forwarder.clock.Now()
 	if !s.isDecided {
 		p.decidePriority()
 	}
@@ -89,13 +86,14 @@
 		Service:        p.service,
 		Account:        p.account.ID,
 		Priority:       prioritizer.Of(p.route, p.account),
+		Target:         p.route.TargetLatency,
 		Tokens:         prioritizer.Cost(p.uncachedTokens(), p.outputTokens()),
 		IsContinuation: p.metadata.LastEventID != "",
 	}
 	f := p.forwarder
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.decision = f.prioritizer.Decide(p.scale(), s.request, s.sentAt)
+	s.decision = f.prioritizer.Decide(p.scale(), s.request, f.clock.Now())
 	if s.decision.IsDemoted {
 		requestsDemoted.Inc()
 	}
@@ -135,7 +133,7 @@
 	return p.priority.isDecided && p.priority.decision.Level != prioritizer.NoLevel
 }
 
-// recordAnswer records that an engine has begun to answer. The answer is bad if it comes after the route's target latency.
+// recordAnswer records that an engine has begun to answer.
 func (p *proxiedRequest) recordAnswer() {
 	s := &p.priority
 	if !p.hasEngineLevel() || s.isAnswered {
@@ -145,23 +143,18 @@
 	f := p.forwarder
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clock.Now()
-	f.prioritizer.RecordAnswer(s.request, p.isLate(now), now)
+	f.prioritizer.RecordAnswer(s.request, s.decision, f.clock.Now())
 }
 
-// isLate reports whether the target latency of the route has passed since the request was sent to its endpoint.
-func (p *proxiedRequest) isLate(now timekeeper.Millis) bool {
-	return p.route.TargetLatency > 0 && now-p.priority.sentAt > p.route.TargetLatency
-}
-
-// recordNoAnswer records that an attempt has ended late and without the begin of an answer, for example because its caller has left.
-func (p *proxiedRequest) recordNoAnswer() {
-	f := p.forwarder
-	if p.hasEngineLevel() && !p.priority.isAnswered && p.isLate(f.clock.Now()) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.prioritizer.RecordRejection(p.service, f.clock.Now())
+// recordEnd records that an attempt has ended.
+func (p *proxiedRequest) recordEnd() {
+	if !p.hasEngineLevel() {
+		return
 	}
+	f := p.forwarder
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.prioritizer.RecordEnd(p.priority.decision)
 }
 
 // recordRejection records that an engine has turned the request away because it is full.
@@ -173,7 +166,7 @@
 	f := p.forwarder
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.prioritizer.RecordRejection(p.service, f.clock.Now())
+	f.prioritizer.RecordRejection(p.priority.request, f.clock.Now())
 }
 
 // priorityFields returns the log fields that describe the request's priority at engines, none if it has none.
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -130,7 +130,7 @@
 	p.errorResponse = nil
 	p.hasReached, p.isAnswered, p.isServedUnframed = false, false, false
 	defer p.recordUnanswered()
-	defer p.recordNoAnswer()
+	defer p.recordEnd()
 	p.coordinatePrefill()
 	defer func() { p.finishPrefill() }()
 	if refusal := p.checkQuarantine(); refusal != nil {
