--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"cardamompulley/fleet/deferrer"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/prioritizer"
 	"cardamompulley/fleet/quarantiner"
 	"cardamompulley/fleet/resumer"
 	"cardamompulley/fleet/timekeeper"
@@ -59,6 +60,8 @@
 	// IsStateComing reports whether the first configuration and list of endpoints can be there soon: it is false once the store and other
 	// gateways are known not to give them.
 	IsStateComing func() bool
+	// Prioritizes is true if priorities of the configuration are passed on to engines and decide who draws on the retry budget.
+	Prioritizes bool
 
 	clock     timekeeper.Clock
 	log       logger.Logger
@@ -83,6 +86,7 @@
 	partOwners      map[model.ServiceID]*resumer.PartOwners
 	cacheLists      *cacheLists
 	returns         *deferrer.Deferrer
+	prioritizer     *prioritizer.Prioritizer
 }
 
 // NewForwarder returns a forwarder that sends requests over the connections of a pool. Its exported fields
@@ -121,6 +125,7 @@
 		partOwners:       map[model.ServiceID]*resumer.PartOwners{},
 		cacheLists:       newCacheLists(p, clock),
 		returns:          deferrer.NewDeferrer(),
+		prioritizer:      newPrioritizer(log),
 	}
 }
 
@@ -191,11 +196,13 @@
 	f.retryBudget.RecordRequest(id, f.clock.Now())
 }
 
-// trySpendRetry takes a retry from the budget of a service, or returns false if the budget is exhausted.
-func (f *Forwarder) trySpendRetry(id model.ServiceID) bool {
+// trySpendRetry takes a retry from the budget of a service, or returns false if the budget is exhausted or what is left of it is for
+// more urgent requests.
+func (f *Forwarder) trySpendRetry(id model.ServiceID, d budgeter.Draw) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
+	d.Gateways = len(f.balancer.Membership.SettledMembers(now))
 
-	return f.retryBudget.TrySpend(id, len(f.balancer.Membership.SettledMembers(now)), now)
+	return f.retryBudget.TrySpend(id, d, now)
 }
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -96,12 +96,13 @@
 func (p *proxiedRequest) recordServed(status int, isFramed bool) {
 	requestsServed.Inc()
 	p.forwarder.recordAnswer(p.service)
+	p.recordAnswer()
 	if status < 300 && isFramed {
 		p.forwarder.clearSuspects(p.suspects)
 	}
 	p.isServedUnframed = status < 300 && !isFramed
 	requestSeconds.Update(float64(p.forwarder.clock.Now()-p.arrivedAt) / 1000)
-	p.forwarder.log.Write(logger.EventRequestServed, append(p.logFields(), logger.Int("status", status))...)
+	p.forwarder.log.Write(logger.EventRequestServed, append(p.logFields(), append(p.priorityFields(), logger.Int("status", status))...)...)
 }
 
 // refuse responds that the request was not served.
@@ -119,10 +120,10 @@
 	}
 	status := platform.HTTPStatus(r)
 	back := p.deferReturn(r)
-	p.forwarder.log.Write(logger.EventRequestRefused, append(p.logFields(),
+	p.forwarder.log.Write(logger.EventRequestRefused, append(append(p.logFields(),
 		logger.Int("status", status), logger.String("code", r.Code),
 		logger.String("outcome", r.Outcome), logger.String("detail", r.Detail),
-		logger.Int("retry-after-ms", back.After), logger.Int("return-window-ms", back.Window))...)
+		logger.Int("retry-after-ms", back.After), logger.Int("return-window-ms", back.Window)), p.priorityFields()...)...)
 	h := p.writer.Header()
 	if p.metadata.AttemptID != "" {
 		platform.SetAttemptID(h, p.metadata.AttemptID)
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -75,6 +75,7 @@
 	finishPrefill func()
 	// suspects is what is blamed if an endpoint crashes on the request.
 	suspects []quarantiner.Suspect
+	priority priorityState
 }
 
 func newProxiedRequest(f *Forwarder, w http.ResponseWriter, r *http.Request) *proxiedRequest {
@@ -96,7 +97,7 @@
 		}},
 		ChooseEndpoint: p.chooseEndpoint,
 		SendAttempt:    p.sendAttempt,
-		TrySpendRetry:  func() bool { return p.forwarder.trySpendRetry(p.service) },
+		TrySpendRetry:  p.trySpendRetry,
 		HandleFailure:  p.handleFailure,
 		Now:            p.forwarder.clock.Now,
 	}
@@ -131,6 +132,7 @@
 	isServed := false
 	defer func() { p.recordPlacementResult(isServed) }()
 	defer p.recordUnanswered()
+	defer p.recordEnd()
 	p.coordinatePrefill()
 	defer func() { p.finishPrefill() }()
 	if refusal := p.checkQuarantine(); refusal != nil {
@@ -220,7 +222,7 @@
 		Timeout:     max(p.timeLeft(), 1),
 		LastEventID: lastEventID,
 		CacheSource: cacheSource,
-		Priority:    -1,
+		Priority:    p.enginePriority(),
 	})
 
 	return &connector.Request{
--- a/router/internal/forwarder/return.go
+++ b/router/internal/forwarder/return.go
@@ -5,6 +5,7 @@
 
 	"cardamompulley/fleet/deferrer"
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/prioritizer"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -16,7 +17,7 @@
 	}
 	refused := deferrer.Refused{
 		Service:      p.service,
-		Priority:     p.priority(),
+		Priority:     int(p.configuredPriority()),
 		Earliest:     r.RetryAfter,
 		IsUnforeseen: r.IsUnforeseen,
 		TimeLeft:     p.callerTime(),
@@ -41,17 +42,14 @@
 	}
 }
 
-// priority returns the urgency of the request: that of its client account if it has one, else that of its route. It is not known without
-// a configuration; all requests then count as equally urgent.
-func (p *proxiedRequest) priority() int {
-	switch {
-	case p.route == nil:
-		return 0
-	case p.account.HasPriority:
-		return p.account.Priority
-	default:
-		return p.route.Priority
+// configuredPriority returns the priority of the request's client account or route. It is not known without a configuration; all requests
+// then count as equally urgent.
+func (p *proxiedRequest) configuredPriority() prioritizer.Priority {
+	if p.route == nil {
+		return prioritizer.MostUrgent
 	}
+
+	return prioritizer.Of(p.route, p.account)
 }
 
 // callerTime returns the time that the caller has left by its own word, else until the request's deadline, or zero if neither is known.
--- a/router/internal/forwarder/return_test.go
+++ b/router/internal/forwarder/return_test.go
@@ -141,15 +141,15 @@
 // The account's priority counts before the route's; without a route there is none.
 func TestPriorityOfRefusal(t *testing.T) {
 	p := &proxiedRequest{}
-	if p.priority() != 0 {
+	if p.configuredPriority() != 0 {
 		t.Error("a priority is known without a configuration")
 	}
 	p.route = &cataloguer.Route{Priority: 2}
-	if p.priority() != 2 {
+	if p.configuredPriority() != 2 {
 		t.Error("the route's priority is not used")
 	}
 	p.account = cataloguer.Account{Priority: 1, HasPriority: true}
-	if p.priority() != 1 {
+	if p.configuredPriority() != 1 {
 		t.Error("the account's priority is not used")
 	}
 }
