Deferrer: takes the prioritizer's priorities, whatever their numbers; the refusal of a start is known as such

Priorities over 7 counted as one. A refusal was taken for one of a start without a configuration by the missing view and a shutdown that has not begun; a gateway that stops before it has read its configuration could tell a staggered time instead of 100 ms, although another gateway has room at once. The test of that case now leaves the shutdown's state out, which is stricter.

--- a/fleet/deferrer/deferrer.go
+++ b/fleet/deferrer/deferrer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/prioritizer"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -23,8 +24,8 @@
 type Refused struct {
 	// Service is the service that was to serve the request, empty if that is not known.
 	Service model.ServiceID
-	// Priority is the urgency of the request; zero is most urgent.
-	Priority int
+	// Priority is the urgency of the request, the most urgent if it is not known.
+	Priority prioritizer.Priority
 	// Earliest is the time from now after which the request can be served, as far as that is known.
 	Earliest timekeeper.Millis
 	// IsUnforeseen is true if nothing tells when the request can be served; Earliest is then the least time that it takes.
@@ -94,8 +95,8 @@
 		return s.part(r.Priority, from, latest-from, now)
 	}
 	spacing := min(s.served.spacing(now), float64(max(maxSpacing, r.Earliest)))
-	ahead, _ := s.ledger.count(r.Priority, now)
-	from = r.Earliest + timekeeper.Millis(float64(ahead)*spacing)
+	n := s.ledger.count(r.Priority, now)
+	from = r.Earliest + timekeeper.Millis(float64(n.moreUrgent+n.equal)*spacing)
 	if length = timekeeper.Millis(spacing); from+length <= latest {
 		return from, length
 	}
@@ -104,14 +105,13 @@
 }
 
 // part returns the part of a span that callers of a priority share by their number among those that are to come back.
-func (s *serviceReturns) part(priority int, from, length, now timekeeper.Millis) (partFrom, partLength timekeeper.Millis) {
-	upTo, all := s.ledger.count(priority, now)
-	moreUrgent, _ := s.ledger.count(clampPriority(priority)-1, now)
-	if upTo == moreUrgent {
+func (s *serviceReturns) part(priority prioritizer.Priority, from, length, now timekeeper.Millis) (partFrom, partLength timekeeper.Millis) {
+	n := s.ledger.count(priority, now)
+	if n.equal == 0 {
 		return from, length
 	}
-	begin := length * timekeeper.Millis(moreUrgent) / timekeeper.Millis(all)
-	end := length * timekeeper.Millis(upTo) / timekeeper.Millis(all)
+	begin := length * timekeeper.Millis(n.moreUrgent) / timekeeper.Millis(n.all)
+	end := length * timekeeper.Millis(n.moreUrgent+n.equal) / timekeeper.Millis(n.all)
 
 	return from + begin, end - begin
 }
@@ -125,8 +125,7 @@
 func (d *Deferrer) Out(now timekeeper.Millis) int {
 	out := 0
 	for _, s := range d.services {
-		_, all := s.ledger.count(0, now)
-		out += all
+		out += s.ledger.total(now)
 	}
 
 	return out
--- a/fleet/deferrer/deferrer_test.go
+++ b/fleet/deferrer/deferrer_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/prioritizer"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -19,7 +20,7 @@
 // refusedCaller is a caller that all gateways' refusals have left waiting.
 type refusedCaller struct {
 	timeout  timekeeper.Millis
-	priority int
+	priority prioritizer.Priority
 	refusal  int
 	Return
 }
@@ -35,7 +36,7 @@
 	callers := make([]refusedCaller, testCallers)
 	for i := range callers {
 		c := &callers[i]
-		c.timeout, c.priority, c.refusal = timeouts[r.IntN(len(timeouts))], r.IntN(3), i/len(gateways)
+		c.timeout, c.priority, c.refusal = timeouts[r.IntN(len(timeouts))], prioritizer.Priority(10*r.IntN(3)), i/len(gateways)
 		c.Return = gateways[i%len(gateways)].Defer(refuse(c), testStart, r.Float64())
 	}
 
@@ -124,8 +125,8 @@
 				}
 				inTime = append(inTime, c)
 				if c.timeout == 15_000 {
-					means[c.priority] += c.After
-					counts[c.priority]++
+					means[c.priority/10] += c.After
+					counts[c.priority/10]++
 				}
 			}
 			if most := peak(inTime); most > max(len(inTime)/4, 100) {
@@ -242,3 +243,19 @@
 		t.Errorf("counts for %d services", len(d.services))
 	}
 }
+
+// A service whose routes have more priorities than are told apart keeps the order of those that are far apart.
+func TestManyPriorities(t *testing.T) {
+	d := NewDeferrer()
+	for p := range prioritizer.Priority(50) {
+		d.Defer(Refused{Service: "s", Priority: 100 * p, Earliest: 100, TimeLeft: 15_000}, testStart, rand.Float64())
+	}
+	if out := d.Out(testStart); out != 50 {
+		t.Errorf("%d callers are to come back, want 50", out)
+	}
+	urgent := d.Defer(Refused{Service: "s", Priority: 1, Earliest: 100, TimeLeft: 15_000}, testStart, 0.5)
+	others := d.Defer(Refused{Service: "s", Priority: 4900, Earliest: 100, TimeLeft: 15_000}, testStart, 0.5)
+	if urgent.After >= others.After {
+		t.Errorf("an urgent caller comes back after %d ms, others after %d", urgent.After, others.After)
+	}
+}
--- a/router/internal/forwarder/first_state.go
+++ b/router/internal/forwarder/first_state.go
@@ -41,6 +41,7 @@
 // notReadyRefusal returns the refusal of a request that arrives before a configuration is known. While one may come soon, the process
 // has waited for it since its start, and is likely to wait as long again.
 func (p *proxiedRequest) notReadyRefusal() *model.Refusal {
+	p.lacksState = true
 	refusal := model.NewRefusal(model.CodeNotReady, "no configuration is known yet")
 	if !p.forwarder.IsStateComing() {
 		return refusal.AsUnforeseen()
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -34,13 +34,15 @@
 	request   *http.Request
 	target    target
 
-	view     *cataloguer.View
-	metadata model.RequestMetadata
-	route    *cataloguer.Route
-	service  model.ServiceID
-	account  cataloguer.Account
-	header   http.Header
-	body     []byte
+	view *cataloguer.View
+	// lacksState is true if the request is refused because no configuration is known yet.
+	lacksState bool
+	metadata   model.RequestMetadata
+	route      *cataloguer.Route
+	service    model.ServiceID
+	account    cataloguer.Account
+	header     http.Header
+	body       []byte
 	// bodyBytes is the memory that the body takes.
 	bodyBytes int64
 	arrival   bodyArrival
--- a/router/internal/forwarder/return.go
+++ b/router/internal/forwarder/return.go
@@ -17,7 +17,7 @@
 	}
 	refused := deferrer.Refused{
 		Service:      p.service,
-		Priority:     int(p.configuredPriority()),
+		Priority:     p.configuredPriority(),
 		Earliest:     r.RetryAfter,
 		IsUnforeseen: r.IsUnforeseen,
 		TimeLeft:     p.callerTime(),
@@ -29,12 +29,12 @@
 	return f.returns.Defer(refused, f.clock.Now(), rand.Float64())
 }
 
-// isDeferrable reports whether a refusal with a code is about room that many callers may wait for. A gateway that stops is none: other
-// gateways have room now.
+// isDeferrable reports whether a refusal with a code is about something that many callers may wait for. A gateway that stops is not: others
+// have room now.
 func (p *proxiedRequest) isDeferrable(code model.Code) bool {
 	switch code {
 	case model.CodeNotReady:
-		return p.view == nil && p.forwarder.shutdown.refusing.Err() == nil
+		return p.lacksState
 	case model.CodeNoEndpoint, model.CodeOverloaded, model.CodeAboveLoadBound, model.CodeEndpointFailed:
 		return true
 	default:
--- a/router/internal/forwarder/return_test.go
+++ b/router/internal/forwarder/return_test.go
@@ -131,7 +131,6 @@
 			t.Errorf("%s: %+v", r.Code, back)
 		}
 	}
-	f.RefuseArriving(0)
 	p.view = nil
 	if back := p.deferReturn(shutdownRefusal()); back.After != shutdownRetryAfter {
 		t.Errorf("a gateway that stops before it has a configuration: %+v", back)
