Prioritizer: levels within a priority, shares at all times, usual tokens kept apart

Requests beyond their share come after others of their own priority, those beyond their account's usual after all others, so that the rank holds in a surge of all accounts.

--- a/fleet/prioritizer/prioritizer.go
+++ b/fleet/prioritizer/prioritizer.go
@@ -62,10 +62,10 @@
 		return Decision{Level: NoLevel}
 	}
 	s := p.state(r.Service, now)
-	band, share := s.band(r, now)
-	s.window.add(r.Account, r.Tokens, band == 0)
-	d := Decision{Level: scale.level(r.Priority, band), IsDemoted: band > 0, SharePercent: share, waiting: s.wait(r, now)}
-	if s.isShort && band == 0 && !r.IsContinuation && d.Level > 0 && s.priority(r.Priority).rotation.next() {
+	st, share := s.standing(r, now)
+	s.window.add(r.Account, r.Tokens, st == withinShare)
+	d := Decision{Level: scale.level(r.Priority, st), IsDemoted: st > withinShare, SharePercent: share, waiting: s.wait(r, now)}
+	if s.isShort && st == withinShare && !r.IsContinuation && d.Level > 0 && s.priority(r.Priority).rotation.next() {
 		d.Level, d.IsPromoted = 0, true
 	}
 
--- a/fleet/prioritizer/scale.go
+++ b/fleet/prioritizer/scale.go
@@ -10,9 +10,22 @@
 const (
 	// engineLevels is the number of priorities that an engine knows; it admits those of level 0 first.
 	engineLevels = 10
-	// minBands is the number of bands that the levels are divided into at least: one for requests within their account's share and
-	// one for others.
-	minBands = 2
+	// maxGroups is the number of groups of priorities that have a level of their own.
+	maxGroups = engineLevels / 2
+	// maxSplitGroups is the number of groups up to which each has two levels, for requests within their account's share and beyond it.
+	maxSplitGroups = engineLevels / 3
+)
+
+// standing is how a request stands to the share of its account.
+type standing int
+
+const (
+	// withinShare is the standing of requests that the account's share covers.
+	withinShare standing = iota
+	// beyondShare is the standing of requests beyond the share. They come after others of their priority.
+	beyondShare
+	// beyondUsual is the standing of requests beyond the share and beyond what the account usually sends. They come after all others.
+	beyondUsual
 )
 
 // EngineLevel is the priority of a request at an engine, from 0 (first) to 9.
@@ -21,8 +34,8 @@
 // NoLevel is the level of requests that are sent without a priority.
 const NoLevel EngineLevel = -1
 
-// Scale maps the priorities of a service onto the levels of its engines. The levels are divided into bands of equal size. Each band
-// keeps the order of the priorities, and a demoted request comes after all requests of the bands before its own.
+// Scale maps the priorities of a service onto the levels of its engines, in their order. Neighboring priorities share a level if a service
+// has more of them than there are levels.
 type Scale struct {
 	priorities []Priority
 }
@@ -52,17 +65,18 @@
 	return s.priorities[0]
 }
 
-// bandSize returns the number of levels in a band. Neighboring priorities share a level if a service has more of them.
-func (s Scale) bandSize() int {
-	return min(len(s.priorities), engineLevels/minBands)
-}
-
-// level returns the level of a priority in a band, or in the last band if there are fewer.
-func (s Scale) level(p Priority, band int) EngineLevel {
-	size := s.bandSize()
-	band = min(band, engineLevels/size-1)
+// level returns the level of a request.
+func (s Scale) level(p Priority, st standing) EngineLevel {
+	groups := min(len(s.priorities), maxGroups)
 	index, _ := slices.BinarySearch(s.priorities, p)
-	index = min(index, len(s.priorities)-1)
+	group := min(index, len(s.priorities)-1) * groups / len(s.priorities)
+	levels := 1
+	if groups <= maxSplitGroups {
+		levels = 2
+	}
+	if st == beyondUsual {
+		return EngineLevel(groups*levels + group)
+	}
 
-	return EngineLevel(band*size + index*size/len(s.priorities))
+	return EngineLevel(group*levels + min(int(st), levels-1))
 }
--- a/fleet/prioritizer/service_state.go
+++ b/fleet/prioritizer/service_state.go
@@ -4,7 +4,6 @@
 	"math"
 	"slices"
 
-	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -76,10 +75,11 @@
 	})
 }
 
-// band returns the band of a request and its account's share of the tokens in percent. Requests without an account share nothing that
-// could be divided.
-func (s *serviceState) band(r Request, now timekeeper.Millis) (band, sharePercent int) {
-	if now-s.shares.computedAt >= shareInterval {
+// standing returns the standing of a request and its account's share of the tokens in percent. Requests without an account share nothing that
+// could be divided. Engines look at the levels of requests that wait: one with room serves what is beyond a share at once, which lends it
+// what others leave idle, and one that fills up has the requests of the others first without being told.
+func (s *serviceState) standing(r Request, now timekeeper.Millis) (st standing, sharePercent int) {
+	if s.shares.span == 0 || now-s.shares.computedAt >= shareInterval {
 		s.shares = newFairShares(s.window, now)
 	}
 	if s.isShort {
@@ -88,31 +88,15 @@
 	sent := s.window.sent(r.Account)
 	sharePercent = int(math.Round(100 * min(sent/max(s.shares.total, 1), 1)))
 	if r.Account == "" {
-		return 0, sharePercent
+		return withinShare, sharePercent
 	}
-	allowed := s.allowed(r.Account, sent)
-	isWithin := s.debts.take(r.Account, r.Tokens, s.shares.rate(allowed), s.shares.slack, now)
+	isWithin := s.debts.take(r.Account, r.Tokens, s.shares.rate(s.window.usual.rate(r.Account)), s.shares.slack, now)
 	switch {
 	case isWithin || r.IsContinuation:
-		return 0, sharePercent
-	case sent <= farOver*allowed:
-		return 1, sharePercent
+		return withinShare, sharePercent
+	case sent <= s.shares.grown(s.window.usual.accounts[r.Account]):
+		return beyondShare, sharePercent
 	default:
-		return 2, sharePercent
+		return beyondUsual, sharePercent
 	}
 }
-
-// allowed returns the tokens that an account may send within the window. While the service is not short, only what is far beyond the
-// account's usual and much of the traffic is too much: engines with room serve it at once all the same, and what waits when they become
-// short is in order.
-func (s *serviceState) allowed(id model.AccountID, sent float64) float64 {
-	usual := s.window.usual.accounts[id]
-	if s.isShort {
-		return s.shares.of(usual)
-	}
-	if usual == 0 || sent <= dominantShare*s.shares.total {
-		return math.Inf(1)
-	}
-
-	return farOver * s.shares.grown(usual)
-}
--- a/fleet/prioritizer/share.go
+++ b/fleet/prioritizer/share.go
@@ -15,14 +15,10 @@
 	// usableShare is the part of what engines serve that is divided among the accounts. The rest is headroom, so that requests within
 	// their share need not wait for each other.
 	usableShare = 0.8
-	// usualMargin is the multiple of its usual tokens that an account may send before it counts as one that sends more.
+	// usualMargin is the multiple of its usual tokens above which an account counts as one that sends more.
 	usualMargin = 1.5
 	// slackRequests is the number of mean requests that an account may send beyond its share, since few requests vary by chance.
-	slackRequests = 2
-	// farOver is the multiple of its share beyond which an account is demoted by two bands.
-	farOver = 4
-	// dominantShare is the share of all tokens above which an account is demoted while the service is not short.
-	dominantShare = 0.2
+	slackRequests = 4
 )
 
 // fairShares tells how many tokens each account may have sent within the window.
@@ -56,20 +52,14 @@
 	}
 }
 
-// of returns the tokens that an account may send within the window: its max-min fair share, or what it usually sends, grown as the
-// traffic of others has grown, if that is more.
-func (s *fairShares) of(usual float64) float64 {
-	return max(s.level+s.slack, s.grown(usual))
-}
-
 // grown returns the tokens up to which an account sends no more than its usual, grown as the traffic of others has grown.
 func (s *fairShares) grown(usual float64) float64 {
 	return usualMargin*s.growth*usual + s.slack
 }
 
-// rate returns the tokens in a millisecond that stand for an amount within the window.
-func (s *fairShares) rate(tokens float64) float64 {
-	return tokens / float64(s.span)
+// rate returns the tokens that an account may send in a millisecond: its max-min fair share, or its usual ones if these are more.
+func (s *fairShares) rate(usual float64) float64 {
+	return max(s.level/float64(s.span), usualMargin*usual)
 }
 
 // maxMinLevel returns the level up to which each of the demands can be met so that they take a capacity together. The demands are in
--- a/fleet/prioritizer/usual_tokens.go
+++ b/fleet/prioritizer/usual_tokens.go
@@ -5,17 +5,35 @@
 const (
 	// usualDecay is the part of the usual tokens that is kept when a calm part of a window is added.
 	usualDecay = 1 - 1.0/30
+	// usualGrowth is the multiple of its usual tokens up to which what an account has sent beyond its share counts as usual.
+	usualGrowth = 2
 	// minUsualTokens is the tokens below which an account is forgotten.
 	minUsualTokens = 1
 )
 
-// usualTokens is what accounts send while the service is not short, as sums that decay; only their ratios count.
+// usualTokens is what accounts send while the service is not short, as sums that decay.
 type usualTokens struct {
 	accounts map[model.AccountID]float64
+	// time is the time for which tokens have been added, in milliseconds. It decays like them.
+	time float64
 }
 
-// add adds what accounts have sent within their share in a calm part of a window, and forgets those that have sent nothing for long.
+// rate returns the tokens that an account usually sends in a millisecond, zero if that is not known.
+func (u *usualTokens) rate(id model.AccountID) float64 {
+	if u.time == 0 {
+		return 0
+	}
+
+	return u.accounts[id] / u.time
+}
+
+// add adds what accounts have sent in a calm part of a window, and forgets those that have sent nothing for long.
 func (u *usualTokens) add(sent map[model.AccountID]accountTokens) {
+	rates := make(map[model.AccountID]float64, len(sent))
+	for id := range sent {
+		rates[id] = u.rate(id)
+	}
+	u.time = u.time*usualDecay + float64(generationLength)
 	for id, tokens := range u.accounts {
 		if tokens *= usualDecay; tokens >= minUsualTokens {
 			u.accounts[id] = tokens
@@ -25,7 +43,7 @@
 	}
 	for id, counted := range sent {
 		if _, ok := u.accounts[id]; ok || len(u.accounts) < maxAccounts {
-			u.accounts[id] += counted.granted
+			u.accounts[id] += max(counted.granted, min(counted.sent, usualGrowth*rates[id]*float64(generationLength)))
 		}
 	}
 }
