--- a/fleet/budgeter/retry_test.go
+++ b/fleet/budgeter/retry_test.go
@@ -39,3 +39,55 @@
 		t.Fatalf("%.2f attempts per request without a budget: the load would not show a retry storm", unlimited)
 	}
 }
+
+// While the budget is nearly spent, less urgent requests leave the rest to the most urgent ones, and the sum is that of a service whose
+// requests are all alike.
+func TestLastPartOfBudgetIsForMostUrgent(t *testing.T) {
+	const requests = 200
+	limits := RetryLimits{Ratio: 0.2, Slack: 30, Window: 10 * timekeeper.Second}
+	spend := func(b *RetryBudget, d Draw) int {
+		n := 0
+		for b.TrySpend("s", d, 1) {
+			n++
+		}
+
+		return n
+	}
+	newBudget := func() *RetryBudget {
+		b := NewRetryBudget(limits)
+		for range requests {
+			b.RecordRequest("s", 1)
+		}
+
+		return b
+	}
+	urgent, other := Draw{Gateways: 1, Priority: 1, MostUrgent: 1}, Draw{Gateways: 1, Priority: 2, MostUrgent: 1}
+	all := spend(newBudget(), Draw{Gateways: 1})
+	if want := int(usableShare * (limits.Ratio*requests + limits.Slack/maxStartsPerWindow)); all != want {
+		t.Errorf("%d retries spent, want %d", all, want)
+	}
+	b := newBudget()
+	spentByOthers := spend(b, other)
+	if want := all - all/3; spentByOthers != want {
+		t.Errorf("less urgent requests spent %d of %d, want %d", spentByOthers, all, want)
+	}
+	if got := spentByOthers + spend(b, urgent); got != all {
+		t.Errorf("%d spent in total, want %d", got, all)
+	}
+	b = newBudget()
+	if got := spend(b, urgent); got != all || b.TrySpend("s", other, 1) {
+		t.Errorf("the most urgent requests spent %d of %d", got, all)
+	}
+}
+
+// A budget of one or two retries is open to all, so that no kind of request goes without for ever.
+func TestSmallBudgetIsOpenToAll(t *testing.T) {
+	b := NewRetryBudget(RetryLimits{Ratio: 0.25, Window: 10 * timekeeper.Second})
+	for range 10 {
+		b.RecordRequest("s", 1)
+	}
+	other := Draw{Priority: 2, MostUrgent: 1}
+	if !b.TrySpend("s", other, 1) || !b.TrySpend("s", other, 1) || b.TrySpend("s", other, 1) {
+		t.Error("less urgent requests may not spend a budget of two retries")
+	}
+}
--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -67,8 +67,8 @@
 	EventStreamResumed            = Event{414, "stream-resumed", levelInfo, "A stream was resumed at another endpoint."}
 	EventCallerDisconnected       = Event{415, "caller-gone", levelInfo, "The caller disconnected before its response was complete."}
 	EventStreamOriginFound        = Event{416, "stream-origin", levelInfo, "A caller resumes a stream: what the gateways know of the software version that began it."}
-	EventServiceShort             = Event{422, "service-short", levelWarn, "An engine service gets more requests than its engines serve in time: what accounts send beyond their share is demoted."}
-	EventServiceShortEnded        = Event{423, "service-short-ended", levelInfo, "The engine service serves its requests in time again; nothing is demoted."}
+	EventServiceShort             = Event{422, "service-short", levelWarn, "An engine service gets more requests than its engines serve in time: a tenth of its less urgent requests is promoted until that ends."}
+	EventServiceShortEnded        = Event{423, "service-short-ended", levelInfo, "The engines of the service serve its requests in time again."}
 )
 
 // AllEvents returns all events in ascending order of their numbers.
--- a/fleet/prioritizer/prioritizer_test.go
+++ b/fleet/prioritizer/prioritizer_test.go
@@ -130,9 +130,9 @@
 	return othersSurge.share() / othersCalm.share(), ownSurge.share() / ownCalm.share()
 }
 
-// Idle shares are lent: while engines serve all in time, nobody is demoted however much of the traffic is its. After a surge this holds
-// again within maxSilence.
-func TestNobodyIsDemotedWhileEnginesServeAllInTime(t *testing.T) {
+// Idle shares are lent: while engines have room, an account is served in time however much of the traffic is its, and no service is short.
+// After a surge this holds again within maxSilence.
+func TestIdleSharesAreLent(t *testing.T) {
 	f := newFleet(testGateways, newTestScale(0, 1, 2), testKinds(), 1)
 	short := map[*Prioritizer]bool{}
 	for _, p := range f.gateways {
--- a/fleet/prioritizer/service_state.go
+++ b/fleet/prioritizer/service_state.go
@@ -90,7 +90,11 @@
 	if r.Account == "" {
 		return withinShare, sharePercent
 	}
-	isWithin := s.debts.take(r.Account, r.Tokens, s.shares.rate(s.window.usual.rate(r.Account)), s.shares.slack, now)
+	slack := s.shares.slack
+	if slack == 0 {
+		slack = slackRequests * r.Tokens
+	}
+	isWithin := s.debts.take(r.Account, r.Tokens, s.shares.rate(s.window.usual.rate(r.Account)), slack, now)
 	switch {
 	case isWithin || r.IsContinuation:
 		return withinShare, sharePercent
