Throttler: room of a plain service, decided at each gateway

Change: fleet/throttler holds an adaptive limit on a gateway's own requests under way at a service, learnt from answers and rejections, and a short fair queue for what finds no room; what cannot be served in time is refused at once with the time when room is expected. The fair queue of the admitter moves to fleet/queuer and is shared. The forwarder asks for room before an endpoint is chosen. Setting throttle-plain-services, log events 420 and 421, room fields on lines of requests.

--- a/fleet/admitter/admitter.go
+++ b/fleet/admitter/admitter.go
@@ -2,6 +2,7 @@
 
 import (
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/queuer"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -37,14 +38,14 @@
 type Admitter struct {
 	Limiter *Limiter
 
-	queue           fairQueue
+	queue           *queuer.Queue
 	running         int
 	meanServiceTime float64
 }
 
 // NewAdmitter returns an admitter of an idle endpoint in its cold start.
 func NewAdmitter(l *Limiter) *Admitter {
-	return &Admitter{Limiter: l, queue: newFairQueue(), meanServiceTime: float64(initialServiceTime)}
+	return &Admitter{Limiter: l, queue: queuer.NewQueue(AgingStep), meanServiceTime: float64(initialServiceTime)}
 }
 
 // Running returns the number of requests that run on the endpoint.
@@ -54,7 +55,7 @@
 
 // Waiting returns the number of queued requests.
 func (a *Admitter) Waiting() int {
-	return a.queue.length
+	return a.queue.Len()
 }
 
 // Admit decides whether a new request runs now, waits or is refused. loadLimit is the number of running requests that
@@ -63,24 +64,24 @@
 	if a.running >= loadLimit {
 		return a.refuse(model.CodeAboveLoadBound, 0)
 	}
+	r.QueuedAt = now
 	limit := a.Limiter.Limit()
 	wait := timekeeper.Millis(0)
-	if a.running >= limit || a.queue.length > 0 {
-		wait = a.expectedWait(a.queue.countAhead(r.Account, r.Priority, now), limit)
+	if a.running >= limit || a.queue.Len() > 0 {
+		wait = a.expectedWait(a.queue.CountAhead(&r, now), limit)
 	}
 	if r.Deadline != noDeadline && now+wait+a.expectedDuration(r) > r.Deadline {
 		return a.refuse(model.CodeDeadlineTooShort, wait)
 	}
-	if a.running < limit && a.queue.length == 0 {
+	if a.running < limit && a.queue.Len() == 0 {
 		a.running++
 
 		return Decision{Action: ActionRun}
 	}
-	if a.queue.length >= maxQueuedPerSlot*max(limit, 1) {
+	if a.queue.Len() >= maxQueuedPerSlot*max(limit, 1) {
 		return a.refuse(a.queueFullCode(), wait)
 	}
-	r.queuedAt = now
-	a.queue.push(r)
+	a.queue.Push(r)
 
 	return Decision{Action: ActionWait}
 }
@@ -134,7 +135,7 @@
 	if a.running >= a.Limiter.Limit() || a.running >= loadLimit {
 		return Request{}, false
 	}
-	next, ok := a.queue.pop(now)
+	next, ok := a.queue.Pop(now)
 	if ok {
 		a.running++
 	}
@@ -144,17 +145,17 @@
 
 // Expire removes and returns the queued requests that can no longer finish before their deadlines.
 func (a *Admitter) Expire(now timekeeper.Millis) []Request {
-	return a.queue.removeIf(func(r *Request) bool {
+	return a.queue.RemoveIf(func(r *Request) bool {
 		return r.Deadline != noDeadline && now+a.expectedDuration(*r) > r.Deadline
 	})
 }
 
 // Cancel removes a queued request and reports whether it was still in the queue.
 func (a *Admitter) Cancel(t Ticket) bool {
-	return len(a.queue.removeIf(func(r *Request) bool { return r.Ticket == t })) > 0
+	return len(a.queue.RemoveIf(func(r *Request) bool { return r.Ticket == t })) > 0
 }
 
 // Drain removes and returns all queued requests.
 func (a *Admitter) Drain() []Request {
-	return a.queue.removeIf(func(*Request) bool { return true })
+	return a.queue.RemoveIf(func(*Request) bool { return true })
 }
--- a/fleet/logger/event.go
+++ b/fleet/logger/event.go
@@ -67,6 +67,8 @@
 	EventStreamResumed            = Event{414, "stream-resumed", levelInfo, "A stream was resumed at another endpoint."}
 	EventCallerDisconnected       = Event{415, "caller-gone", levelInfo, "The caller disconnected before its response was complete."}
 	EventStreamOriginFound        = Event{416, "stream-origin", levelInfo, "A caller resumes a stream: what the gateways know of the software version that began it."}
+	EventServiceFull              = Event{420, "service-full", levelWarn, "A service without an engine gets more requests than it serves in time: this gateway limits its own, lets them wait and refuses some."}
+	EventServiceHasRoom           = Event{421, "service-has-room", levelInfo, "The service has room again; this gateway does not limit its requests any more."}
 	EventServiceShort             = Event{422, "service-short", levelWarn, "An engine service gets more requests than its engines serve in time: a tenth of its less urgent requests is promoted until that ends."}
 	EventServiceShortEnded        = Event{423, "service-short-ended", levelInfo, "The engines of the service serve its requests in time again."}
 )
@@ -88,6 +90,6 @@
 		EventRequestSuspected, EventRequestQuarantined, EventSuspectLearned, EventSuspectCleared, EventEndpointBackoff,
 		EventResponseMismatch, EventIncompleteResponse, EventRetryBudgetExhausted,
 		EventAttemptFailed, EventRequestServed, EventRequestRefused, EventStreamInterrupted, EventStreamResumed, EventCallerDisconnected,
-		EventStreamOriginFound, EventServiceShort, EventServiceShortEnded,
+		EventStreamOriginFound, EventServiceFull, EventServiceHasRoom, EventServiceShort, EventServiceShortEnded,
 	}
 }
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -87,8 +87,11 @@
 		p.forwarder.recordCrash(endpoint)
 	}
 	if metadata.NotRun {
+		p.recordRoomRejection(response.StatusCode)
+
 		return p.failNotRun(conn, response)
 	}
+	p.recordRoomResponse(response.StatusCode)
 	if response.StatusCode < 300 && (!metadata.IsSigned || metadata.AttemptID == "" || response.Header.Get("Content-Encoding") != "") {
 		return p.failAfterSend(conn, errUnsigned)
 	}
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -55,6 +55,8 @@
 	StoreSilence func() timekeeper.Millis
 	// BodyStallTimeout is how long nothing of a request body may arrive, in milliseconds.
 	BodyStallTimeout timekeeper.Millis
+	// ThrottlePlainServices is true if requests wait or are refused when a service without an engine has no room for them.
+	ThrottlePlainServices bool
 	// StateReady is closed once the process has its first configuration and list of endpoints.
 	StateReady <-chan struct{}
 	// IsStateComing reports whether the first configuration and list of endpoints can be there soon: it is false once the store and other
@@ -87,6 +89,7 @@
 	cacheLists      *cacheLists
 	returns         *deferrer.Deferrer
 	prioritizer     *prioritizer.Prioritizer
+	rooms           map[model.ServiceID]*room
 }
 
 // NewForwarder returns a forwarder that sends requests over the connections of a pool. Its exported fields
@@ -126,6 +129,7 @@
 		cacheLists:       newCacheLists(p, clock),
 		returns:          deferrer.NewDeferrer(),
 		prioritizer:      newPrioritizer(log),
+		rooms:            map[model.ServiceID]*room{},
 	}
 }
 
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -68,6 +68,7 @@
 			logger.Int("first-ms", p.stream.firstEventAt-p.arrivedAt),
 			logger.Int("longest-gap-ms", p.stream.longestGap))
 	}
+	fields = append(fields, p.roomFields()...)
 	if e := p.choice.CacheSource; e != nil {
 		fields = append(fields, logger.String("fetch-from", e.ID))
 	}
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -78,6 +78,7 @@
 	// suspects is what is blamed if an endpoint crashes on the request.
 	suspects []quarantiner.Suspect
 	priority priorityState
+	roomUse  roomUse
 }
 
 func newProxiedRequest(f *Forwarder, w http.ResponseWriter, r *http.Request) *proxiedRequest {
@@ -108,8 +109,12 @@
 	}
 }
 
-// chooseEndpoint chooses an endpoint by the newest view, which may have changed while the request waited.
+// chooseEndpoint waits for room and chooses an endpoint by the newest view, which may have changed while the request waited.
 func (p *proxiedRequest) chooseEndpoint() *model.Refusal {
+	p.view = p.forwarder.CurrentView()
+	if refusal := p.enterRoom(); refusal != nil {
+		return refusal
+	}
 	p.view = p.forwarder.CurrentView()
 	choice, refusal := p.forwarder.chooseEndpoint(p.view, p.balancerRequest())
 	if refusal == nil {
@@ -117,6 +122,7 @@
 
 		return nil
 	}
+	p.leaveRoom()
 	if refusal.Code == model.CodeSoftwareGone {
 		refusal.RetryAfter = p.afterDeadline()
 	}
@@ -125,8 +131,9 @@
 }
 
 // sendAttempt makes one attempt at the chosen endpoint. Its cleanup is deferred because an aborted response panics: the
-// request stops counting as running at the endpoint, and requests that wait for its prefill are released.
+// request stops counting as running at the endpoint, its room is given back, and requests that wait for its prefill are released.
 func (p *proxiedRequest) sendAttempt() *dispatcher.Failure {
+	defer p.leaveRoom()
 	defer p.forwarder.recordFinish(p.choice.Endpoint.ID)
 	p.errorResponse = nil
 	p.hasReached, p.isAnswered, p.isServedUnframed = false, false, false
--- /dev/null
+++ b/router/internal/forwarder/room_test.go
@@ -0,0 +1,128 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/throttler"
+	"cardamompulley/fleet/timekeeper"
+)
+
+const (
+	rejection = "HTTP/1.1 503 Service Unavailable\r\nCardamompulley-Not-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	success   = "HTTP/1.1 200 OK\r\nCardamompulley-Attempt-Id: c\r\nCardamompulley-Response-Signature: s\r\nContent-Length: 0\r\n\r\n"
+)
+
+// newShortForwarder returns a forwarder whose plain service has just rejected two requests, and whose endpoint serves the next one. If
+// requests are throttled, another one has the only room that there is until leave is called.
+func newShortForwarder(t *testing.T, target timekeeper.Millis, isThrottled bool) (f *Forwarder, leave func()) {
+	t.Helper()
+	f = newTestForwarder(listenWithAnswers(t, true, rejection, rejection, success))
+	v := f.CurrentView()
+	c := cataloguer.NewConfiguration(2, cataloguer.Limits{}, []cataloguer.Route{{
+		Name: "r", Host: "a", Prefix: "/", Kind: cataloguer.KindOnce, IsPublic: true, TargetLatency: target,
+		TrafficSplit: []cataloguer.WeightedService{{Service: "s", Weight: 1}},
+	}}, []cataloguer.Service{{ID: "s"}}, nil, false)
+	view := cataloguer.NewView(c, nil, v.Endpoints("s"), v.ChangedAt)
+	f.CurrentView = func() *cataloguer.View { return view }
+	f.ThrottlePlainServices = isThrottled
+	for _, id := range []model.AttemptID{"a", "b"} {
+		if w, _ := serve(f, id); w.Code != http.StatusServiceUnavailable {
+			t.Fatalf("request %s got status %d, want a refusal", id, w.Code)
+		}
+	}
+
+	if !isThrottled {
+		return f, func() {}
+	}
+	now, r := f.clock.Now(), f.room("s")
+	if d, _, _ := r.arrive(throttler.Request{ArrivedAt: now}, f.capacity(view, "s", now), now); d.Action != throttler.ActionRun {
+		t.Fatalf("no room for one request: %s", d.Action)
+	}
+
+	return f, func() { r.finish(throttler.OutcomeUnknown, 0, target, f.clock.Now()) }
+}
+
+func checkEmpty(t *testing.T, f *Forwarder) {
+	t.Helper()
+	for _, s := range f.RoomStates() {
+		if s.UnderWay != 0 || s.Waiting != 0 {
+			t.Errorf("%d requests under way and %d waiting after the end, want none", s.UnderWay, s.Waiting)
+		}
+	}
+}
+
+func TestRequestWithoutRoomIsRefusedAtOnce(t *testing.T) {
+	f, leave := newShortForwarder(t, 60, true)
+	const more = 40
+	now, r := f.clock.Now(), f.room("s")
+	for range more {
+		r.arrive(throttler.Request{ArrivedAt: now, TargetLatency: 60, Deadline: now + 1}, f.capacity(f.CurrentView(), "s", now), now)
+	}
+	start := time.Now()
+	w, _ := serve(f, "c")
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q, want 503 with the time to come back", w.Code, w.Header().Get("Retry-After"))
+	}
+	if took := time.Since(start); took > 50*time.Millisecond {
+		t.Errorf("the refusal took %s", took)
+	}
+	if s := f.RoomStates()[0]; s.Refused != more+1 {
+		t.Errorf("%d refused for lack of room, want %d", s.Refused, more+1)
+	}
+	leave()
+	checkEmpty(t, f)
+}
+
+func TestThrottlingCanBeSwitchedOff(t *testing.T) {
+	f, _ := newShortForwarder(t, 60, false)
+	if w, _ := serve(f, "c"); w.Code != http.StatusOK {
+		t.Errorf("status %d, want 200", w.Code)
+	}
+	if len(f.RoomStates()) > 0 {
+		t.Error("the service has a room although throttling is off")
+	}
+}
+
+func TestRequestWaitsForRoom(t *testing.T) {
+	f, leave := newShortForwarder(t, 5*timekeeper.Second, true)
+	time.AfterFunc(20*time.Millisecond, leave)
+	if w, _ := serve(f, "c"); w.Code != http.StatusOK {
+		t.Errorf("status %d, want 200", w.Code)
+	}
+	if s := f.RoomStates()[0]; s.Waited != 1 || s.WaitedMilliseconds == 0 {
+		t.Errorf("%d requests waited %d ms, want one that did", s.Waited, s.WaitedMilliseconds)
+	}
+	checkEmpty(t, f)
+}
+
+func TestCallerThatLeavesFreesItsPlace(t *testing.T) {
+	f, leave := newShortForwarder(t, 5*timekeeper.Second, true)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	r := httptest.NewRequest(http.MethodGet, "http://a/", nil).WithContext(ctx)
+	r.Header.Set("Cardamompulley-Attempt-Id", "c")
+	defer func() {
+		if recover() == nil {
+			t.Error("the request of a caller that has left was answered")
+		}
+		leave()
+		checkEmpty(t, f)
+	}()
+	f.ServeHTTP(httptest.NewRecorder(), r)
+}
+
+func TestShutdownEndsWaits(t *testing.T) {
+	f, leave := newShortForwarder(t, 5*timekeeper.Second, true)
+	time.AfterFunc(20*time.Millisecond, f.EndRequests)
+	if w, _ := serve(f, "c"); w.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503: the request has not run", w.Code)
+	}
+	leave()
+	checkEmpty(t, f)
+}
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -115,6 +115,7 @@
 	g.forwarder.CurrentView = g.view.Load
 	g.forwarder.StateReady = g.viewReady
 	g.forwarder.IsStateComing = g.isStateComing
+	g.forwarder.ThrottlePlainServices = s.ThrottlePlainServices
 	g.forwarder.StoreSilence = g.storeSilence
 	g.forwarder.AskOrigin = g.peers.askOrigin
 	g.forwarder.ListReader = g.peers.listReader
--- a/router/internal/gateway/settings.go
+++ b/router/internal/gateway/settings.go
@@ -45,28 +45,31 @@
 	// LoadMultiple is the largest load of an endpoint, as a multiple of the mean load of its service.
 	LoadMultiple float64
 	// Prioritizes is true if requests get the priorities of the configuration (setting prioritize).
-	Prioritizes       bool
-	MemoryMB          int
-	Cores             int
-	LogLinesPerSecond int
+	Prioritizes bool
+	// ThrottlePlainServices is true if requests to services without an engine wait or are refused when these have no room.
+	ThrottlePlainServices bool
+	MemoryMB              int
+	Cores                 int
+	LogLinesPerSecond     int
 }
 
 // NewSettings returns the default settings.
 func NewSettings() Settings {
 	return Settings{
-		HeartbeatInterval:   timekeeper.Second,
-		RecoveryTime:        3 * timekeeper.Second,
-		DrainTime:           2 * timekeeper.Second,
-		ConfigurationTime:   2 * timekeeper.Second,
-		ShutdownGrace:       10 * timekeeper.Second,
-		RetryWindow:         10 * timekeeper.Second,
-		RetryRatio:          0.1,
-		LoadMultiple:        2,
-		Prioritizes:         true,
-		MemoryMB:            256,
-		Cores:               1,
-		LogLinesPerSecond:   200,
-		StoreReadsPerSecond: 2000,
+		HeartbeatInterval:     timekeeper.Second,
+		RecoveryTime:          3 * timekeeper.Second,
+		DrainTime:             2 * timekeeper.Second,
+		ConfigurationTime:     2 * timekeeper.Second,
+		ShutdownGrace:         10 * timekeeper.Second,
+		RetryWindow:           10 * timekeeper.Second,
+		RetryRatio:            0.1,
+		LoadMultiple:          2,
+		Prioritizes:           true,
+		ThrottlePlainServices: true,
+		MemoryMB:              256,
+		Cores:                 1,
+		LogLinesPerSecond:     200,
+		StoreReadsPerSecond:   2000,
 	}
 }
 
@@ -130,6 +133,10 @@
 			Name: "prioritize", Target: &s.Prioritizes, Default: "true", AllowedValues: "true, false",
 			Meaning: "Whether engines are told the priorities of routes and accounts, if these differ.",
 		},
+		{
+			Name: "throttle-plain-services", Target: &s.ThrottlePlainServices, Default: "true", AllowedValues: "true, false",
+			Meaning: "Whether requests to services without an engine wait, or are refused at once, when the service has no room for them.",
+		},
 		{
 			Name: "store-reads-per-second", Target: &s.StoreReadsPerSecond, Default: "2000", AllowedValues: "1 to 1000000",
 			Check:   loader.Range(&s.StoreReadsPerSecond, 1, maxStoreReadsPerSecond),
