Throttler: a silent endpoint takes no room of others

Change: a request under way for longer than its target latency does not count any more. Test: an endpoint of three that turns silent.

--- a/fleet/throttler/play_test.go
+++ b/fleet/throttler/play_test.go
@@ -261,7 +261,7 @@
 
 func (s *play) leave(r *fakeRequest, o Outcome) {
 	r.gateway.own[r.endpoint]--
-	r.gateway.throttler.Finish(o, s.now-r.sentAt, targetLatency, s.now)
+	r.gateway.throttler.Finish(o, r.sentAt, s.now-r.sentAt, targetLatency, s.now)
 	s.advance(r.gateway)
 }
 
--- a/fleet/throttler/surge_test.go
+++ b/fleet/throttler/surge_test.go
@@ -77,11 +77,11 @@
 	}
 }
 
-// playSlowEndpoint plays a surge in which one of three endpoints turns four times slower.
-func playSlowEndpoint(gateways int) figures {
+// playSlowEndpoint plays a surge in which one of three endpoints turns slower.
+func playSlowEndpoint(gateways int, slowdown float64) figures {
 	const slowAt = 5 * timekeeper.Second
 	s := play{gateways: gateways, endpoints: 3, queueLength: 24, callsPerSecond: 65, multiple: 6, measureFrom: slowAt + timekeeper.Second}
-	s.at = map[timekeeper.Millis]func(*play){slowAt: func(s *play) { s.servers[0].slowdown = 4 }}
+	s.at = map[timekeeper.Millis]func(*play){slowAt: func(s *play) { s.servers[0].slowdown = slowdown }}
 
 	return s.run(1)
 }
@@ -92,7 +92,16 @@
 func TestOthersServeOnTimeBesideASlowEndpoint(t *testing.T) {
 	for _, gateways := range []int{4, 20, 103} {
 		t.Run(fmt.Sprintf("%d gateways", gateways), func(t *testing.T) {
-			playSlowEndpoint(gateways).check(t, slotSeconds(12, slowMeasured))
+			playSlowEndpoint(gateways, 4).check(t, slotSeconds(12, slowMeasured))
+		})
+	}
+}
+
+func TestSilentEndpointTakesNoRoom(t *testing.T) {
+	const silent = 1000
+	for _, gateways := range []int{4, 20, 103} {
+		t.Run(fmt.Sprintf("%d gateways", gateways), func(t *testing.T) {
+			playSlowEndpoint(gateways, silent).check(t, slotSeconds(12, slowMeasured))
 		})
 	}
 }
@@ -101,7 +110,7 @@
 func TestSlowEndpointServesOnTime(t *testing.T) {
 	for _, gateways := range []int{4, 20, 103} {
 		t.Run(fmt.Sprintf("%d gateways", gateways), func(t *testing.T) {
-			playSlowEndpoint(gateways).check(t, slotSeconds(12, slowMeasured)+slotSeconds(6, slowMeasured)/4)
+			playSlowEndpoint(gateways, 4).check(t, slotSeconds(12, slowMeasured)+slotSeconds(6, slowMeasured)/4)
 		})
 	}
 }
--- a/fleet/throttler/throttler.go
+++ b/fleet/throttler/throttler.go
@@ -76,7 +76,7 @@
 	queue    *queuer.Queue
 	demand   demand
 	floor    floor
-	underWay int
+	underWay underWay
 	capacity Capacity
 	// evicted are waiting requests that have lost their place to a request of another account.
 	evicted []queuer.Request
@@ -101,7 +101,7 @@
 
 // UnderWay returns the number of requests that have room.
 func (t *Throttler) UnderWay() int {
-	return t.underWay
+	return len(t.underWay.starts)
 }
 
 // Waiting returns the number of requests that wait for room.
@@ -145,22 +145,23 @@
 // hasRoom reports whether a request of a priority may start. Beside more urgent ones it leaves room for the next of them.
 func (t *Throttler) hasRoom(p queuer.Priority, now timekeeper.Millis) bool {
 	if t.demand.moreUrgent(p, now) < minMoreUrgent || t.floor.isStarved(p, now) {
-		return t.limit.hasRoom(t.underWay, now)
+		return t.limit.hasRoom(t.underWay.count(now), now)
 	}
 
-	return t.limit.hasSavedRoom(t.underWay, now)
+	return t.limit.hasSavedRoom(t.underWay.count(now), now)
 }
 
 // start counts a request as under way.
 func (t *Throttler) start(p queuer.Priority, now timekeeper.Millis) {
-	t.limit.recordStart(t.underWay, now)
-	t.underWay++
+	t.limit.recordStart(t.underWay.count(now), now)
+	t.underWay.add(now)
 	t.floor.recordStart(p, now)
 }
 
-// Finish records that a request which had room has ended. It took duration at the endpoint.
-func (t *Throttler) Finish(o Outcome, duration, target, now timekeeper.Millis) {
-	t.underWay = max(t.underWay-1, 0)
+// Finish records that a request which had room since startedAt has ended. It took duration at the endpoint.
+func (t *Throttler) Finish(o Outcome, startedAt, duration, target, now timekeeper.Millis) {
+	t.underWay.remove(startedAt)
+	t.underWay.overdueTime = target
 	rate := t.demand.total(now)
 	switch o {
 	case OutcomeServed:
@@ -180,7 +181,7 @@
 func (t *Throttler) Advance(now timekeeper.Millis) Changes {
 	t.limit.update(t.capacity, now)
 	var c Changes
-	for t.queue.Len() > 0 && t.limit.hasRoom(t.underWay, now) {
+	for t.queue.Len() > 0 && t.limit.hasRoom(t.underWay.count(now), now) {
 		next, ok := t.next(now)
 		if !ok {
 			break
@@ -221,7 +222,7 @@
 	t.queue.All(func(r *queuer.Request) {
 		consider(now + maxUnattended)
 		consider(r.OnTimeUntil + 1)
-		consider(t.limit.nextStart(t.underWay, now))
+		consider(t.limit.nextStart(t.underWay.count(now), now))
 	})
 
 	return due
--- a/fleet/throttler/wait.go
+++ b/fleet/throttler/wait.go
@@ -73,7 +73,7 @@
 func (t *Throttler) expectedWait(r *queuer.Request, now timekeeper.Millis) timekeeper.Millis {
 	rate := t.limit.startRate()
 	rate = max(rate-t.demand.moreUrgent(r.Priority, now), minRoomShare*rate)
-	first := t.limit.untilRoom(t.underWay, now)
+	first := t.limit.untilRoom(t.underWay.count(now), now)
 	ahead := float64(t.queue.CountBefore(r, now))
 	if t.queue.IsAhead(r.Account) {
 		ahead *= waitMargin
--- a/router/internal/forwarder/room.go
+++ b/router/internal/forwarder/room.go
@@ -13,8 +13,9 @@
 // shortageLogInterval is the least time between two log lines that a service has run out of room.
 const shortageLogInterval = 10 * timekeeper.Second
 
-// grant is the end of a wait for room: room, or the time after which the caller may expect some.
+// grant is the end of a wait for room: room from startedAt on, or the time after which the caller may expect some.
 type grant struct {
+	startedAt  timekeeper.Millis
 	isRefused  bool
 	retryAfter timekeeper.Millis
 }
@@ -72,10 +73,10 @@
 }
 
 // finish records that a request which had room has ended, and gives its room to others.
-func (r *room) finish(o throttler.Outcome, duration, target, now timekeeper.Millis) {
+func (r *room) finish(o throttler.Outcome, startedAt, duration, target, now timekeeper.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.throttler.Finish(o, duration, target, now)
+	r.throttler.Finish(o, startedAt, duration, target, now)
 	r.grantRoom(now)
 }
 
@@ -92,7 +93,7 @@
 func (r *room) grantRoom(now timekeeper.Millis) {
 	changes := r.throttler.Advance(now)
 	for _, t := range changes.Started {
-		r.endWait(t, grant{})
+		r.endWait(t, grant{startedAt: now})
 	}
 	for _, refusal := range changes.Refused {
 		r.refused++
--- a/router/internal/forwarder/room_test.go
+++ b/router/internal/forwarder/room_test.go
@@ -45,7 +45,7 @@
 		t.Fatalf("no room for one request: %s", d.Action)
 	}
 
-	return f, func() { r.finish(throttler.OutcomeUnknown, 0, target, f.clock.Now()) }
+	return f, func() { r.finish(throttler.OutcomeUnknown, now, 0, target, f.clock.Now()) }
 }
 
 func checkEmpty(t *testing.T, f *Forwarder) {
--- a/router/internal/forwarder/throttle.go
+++ b/router/internal/forwarder/throttle.go
@@ -24,7 +24,7 @@
 	room *room
 	// hasRoom is true from the grant to the end of the attempt.
 	hasRoom   bool
-	grantedAt timekeeper.Millis
+	startedAt timekeeper.Millis
 	outcome   throttler.Outcome
 	// duration is how long the endpoint took to begin its response.
 	duration timekeeper.Millis
@@ -56,7 +56,7 @@
 		return p.waitForRoom(r, ticket, granted)
 	case throttler.ActionRun:
 	}
-	p.takeRoom()
+	p.takeRoom(now)
 
 	return nil
 }
@@ -106,7 +106,7 @@
 	if g.isRefused {
 		return p.roomRefusal(g.retryAfter)
 	}
-	p.takeRoom()
+	p.takeRoom(g.startedAt)
 
 	return nil
 }
@@ -126,10 +126,10 @@
 	return model.NewRefusal(model.CodeOverloaded, "the service has no room for the request in time").WithRetryAfter(retryAfter)
 }
 
-// takeRoom records that the request has room. leaveRoom must follow.
-func (p *proxiedRequest) takeRoom() {
+// takeRoom records that the request has room since startedAt. leaveRoom must follow.
+func (p *proxiedRequest) takeRoom(startedAt timekeeper.Millis) {
 	u := &p.roomUse
-	u.hasRoom, u.grantedAt, u.outcome = true, p.forwarder.clock.Now(), throttler.OutcomeUnknown
+	u.hasRoom, u.startedAt, u.outcome = true, startedAt, throttler.OutcomeUnknown
 	u.limit = u.room.state().Limit
 }
 
@@ -140,13 +140,13 @@
 		return
 	}
 	u.hasRoom = false
-	u.room.finish(u.outcome, u.duration, p.route.TargetLatency, p.forwarder.clock.Now())
+	u.room.finish(u.outcome, u.startedAt, u.duration, p.route.TargetLatency, p.forwarder.clock.Now())
 }
 
 // recordRoomResponse records how long the endpoint took to begin its response. A failure says nothing of the room.
 func (p *proxiedRequest) recordRoomResponse(status int) {
 	u := &p.roomUse
-	u.duration = p.forwarder.clock.Now() - u.grantedAt
+	u.duration = p.forwarder.clock.Now() - u.startedAt
 	if status < http.StatusInternalServerError {
 		u.outcome = throttler.OutcomeServed
 	}
