--- a/fleet/balancer/capacity.go
+++ b/fleet/balancer/capacity.go
@@ -6,9 +6,9 @@
 	"cardamompulley/fleet/timekeeper"
 )
 
-// Capacity returns the number of a service's endpoints that can take requests, their slots, and the requests that run or wait there as far
-// as this gateway knows. Slots is zero if those of an endpoint are not known.
-func (b *Balancer) Capacity(v *cataloguer.View, id model.ServiceID, now timekeeper.Millis) (endpoints, slots, load int) {
+// Capacity returns the number of a service's endpoints that can take requests, their slots, and how many of these are taken as far as this
+// gateway knows. Slots is zero if those of an endpoint are not known.
+func (b *Balancer) Capacity(v *cataloguer.View, id model.ServiceID, now timekeeper.Millis) (endpoints, slots, taken int) {
 	isKnown := true
 	for _, e := range v.Endpoints(id) {
 		if !v.CanTakeWork(e) || b.HasLeft(e, now) || !b.state(e.ID).breaker.IsClosed() {
@@ -17,11 +17,11 @@
 		endpoints++
 		isKnown = isKnown && e.Slots > 0
 		slots += e.Slots
-		load += b.Load(e.ID)
+		taken += min(b.Load(e.ID), e.Slots)
 	}
 	if !isKnown {
 		slots = 0
 	}
 
-	return endpoints, slots, load
+	return endpoints, slots, taken
 }
--- a/fleet/throttler/limit.go
+++ b/fleet/throttler/limit.go
@@ -26,7 +26,7 @@
 	rejectionDecrease = 0.8
 	// busyShare is the share of the slots in use from which on a service can be short of room, and idleShare the one below which it certainly
 	// is not.
-	busyShare = 0.75
+	busyShare = 0.85
 	idleShare = 0.5
 	// calmTime is how long nothing may have waited or been rejected before the limit ends.
 	calmTime = 500 * timekeeper.Millis(1)
@@ -162,7 +162,7 @@
 
 // update ends the limit when nothing has waited or been rejected for some time.
 func (l *limit) update(c Capacity, now timekeeper.Millis) {
-	if !l.isOn || c.Slots > 0 && !c.hasFree() {
+	if !l.isOn || c.isBusy() {
 		return
 	}
 	if now-l.shortAt >= calmTime && now-l.badAt >= calmTime {
@@ -262,15 +262,15 @@
 
 // isBusy reports whether the service can be short of room, as far as this gateway knows.
 func (c Capacity) isBusy() bool {
-	return c.Slots > 0 && float64(c.Load) >= busyShare*float64(c.Slots)
+	return c.Slots > 0 && float64(c.Taken) >= busyShare*float64(c.Slots)
 }
 
 // hasFree reports whether there are free slots, as far as this gateway knows.
 func (c Capacity) hasFree() bool {
-	return c.Slots > 0 && c.Load < c.Slots
+	return c.Slots > 0 && c.Taken < c.Slots
 }
 
 // isIdle reports whether the service certainly has room.
 func (c Capacity) isIdle() bool {
-	return c.Slots > 0 && float64(c.Load) < idleShare*float64(c.Slots)
+	return c.Slots > 0 && float64(c.Taken) < idleShare*float64(c.Slots)
 }
--- a/fleet/throttler/throttler.go
+++ b/fleet/throttler/throttler.go
@@ -23,12 +23,12 @@
 	IsRepeat bool
 }
 
-// Capacity is what a gateway knows of a service. Slots and Load are totals over the endpoints that can take requests; Slots is zero if
-// it is not known.
+// Capacity is what a gateway knows of a service. Slots and Taken, the slots in use, are totals over the endpoints that can take requests;
+// Slots is zero if it is not known.
 type Capacity struct {
 	Endpoints int
 	Slots     int
-	Load      int
+	Taken     int
 	Gateways  int
 }
 
