--- a/fleet/balancer/even_load_cases_test.go
+++ b/fleet/balancer/even_load_cases_test.go
@@ -115,3 +115,26 @@
 		t.Errorf("spread %+v, alike %+v", spread, alike)
 	}
 }
+
+// BenchmarkChooseAtSize measures a choice at the stated size: 410 gateways before 840 endpoints.
+func BenchmarkChooseAtSize(b *testing.B) {
+	const gateways, running = 410, 8
+	for _, p := range []policy{policyPlain, policySpread} {
+		b.Run(string(p), func(b *testing.B) {
+			r := newWaveRun(fleetLoad{gateways: 1, domains: 6, perDomain: 140}, 64, p)
+			x := r.balancers[0]
+			for g := range gateways - 1 {
+				report := LoadReport{Gateway: NameHash(1 + g), CountedAt: 1}
+				for n := range running {
+					report.Loads = append(report.Loads, EndpointLoad{Endpoint: HashName(r.ids[(running*g+n)%len(r.ids)]), Running: 1})
+				}
+				x.MergeReport(report, 2)
+			}
+			for b.Loop() {
+				if _, refusal := x.Choose(r.view, Request{Service: testService, Session: 7}, 500); refusal != nil {
+					b.Fatal(refusal)
+				}
+			}
+		})
+	}
+}
