--- a/fleet/prioritizer/share.go
+++ b/fleet/prioritizer/share.go
@@ -11,7 +11,7 @@
 
 const (
 	// shareInterval is how often the shares of the accounts are computed.
-	shareInterval = 200 * timekeeper.Millis(1)
+	shareInterval = timekeeper.Second / 2
 	// usableShare is the part of what engines serve that is divided among the accounts. The rest is headroom, so that requests within
 	// their share need not wait for each other.
 	usableShare = 0.8
