Prioritizer: continuations have a share of their own; young gateways learn shares at once

Any caller could escape demotion by a Last-Event-ID. Weighed: only streams whose beginning a gateway knows (other gateways mostly don't, as long as one software version serves). Chosen: a second share of the same size for continuations. A gateway with one service and no requests yet had a share of zero for half a second; nobody's demand now leaves the whole capacity, and shares are computed more often at first.

--- a/fleet/prioritizer/prioritizer.go
+++ b/fleet/prioritizer/prioritizer.go
@@ -20,7 +20,8 @@
 	Target timekeeper.Millis
 	// Tokens is the cost of the request; see Cost.
 	Tokens float64
-	// IsContinuation is true if the request goes on with a stream that has begun. It is not demoted.
+	// IsContinuation is true if the request goes on with a stream that has begun. These have a share of their own, as large as the
+	// account's.
 	IsContinuation bool
 }
 
@@ -112,6 +113,7 @@
 	for id, s := range p.services {
 		p.updateShortage(id, now)
 		s.debts.expire(now)
+		s.continued.expire(now)
 		if now-s.lastUsedAt >= serviceLifetime {
 			delete(p.services, id)
 		}
@@ -122,7 +124,7 @@
 func (p *Prioritizer) state(id model.ServiceID, now timekeeper.Millis) *serviceState {
 	s, ok := p.services[id]
 	if !ok {
-		s = &serviceState{window: newTokenWindow(now), debts: accountDebts{}, priorities: map[Priority]*priorityState{}}
+		s = &serviceState{window: newTokenWindow(now), debts: accountDebts{}, continued: accountDebts{}, priorities: map[Priority]*priorityState{}}
 		p.services[id] = s
 	}
 	s.lastUsedAt = now
--- a/fleet/prioritizer/service_state.go
+++ b/fleet/prioritizer/service_state.go
@@ -12,10 +12,12 @@
 
 // serviceState is what a gateway tracks for one service.
 type serviceState struct {
-	isShort    bool
-	window     *tokenWindow
-	shares     fairShares
-	debts      accountDebts
+	isShort bool
+	window  *tokenWindow
+	shares  fairShares
+	debts   accountDebts
+	// continued holds what accounts have sent in continuations beyond their share.
+	continued  accountDebts
 	priorities map[Priority]*priorityState
 	// waiting holds the requests that no engine has begun to answer. Those of checkedAt that were late are removed.
 	waiting    []*waitingRequest
@@ -79,7 +81,7 @@
 // could be divided. Engines look at the levels of requests that wait: one with room serves what is beyond a share at once, which lends it
 // what others leave idle, and one that fills up has the requests of the others first without being told.
 func (s *serviceState) standing(r Request, now timekeeper.Millis) (st standing, sharePercent int) {
-	if s.shares.span == 0 || now-s.shares.computedAt >= shareInterval {
+	if s.shares.span == 0 || now-s.shares.computedAt >= min(shareInterval, (now-s.window.startedAt)/youngShareDivisor) {
 		s.shares = newFairShares(s.window, now)
 	}
 	if s.isShort {
@@ -94,9 +96,9 @@
 	if slack == 0 {
 		slack = slackRequests * r.Tokens
 	}
-	isWithin := s.debts.take(r.Account, r.Tokens, s.shares.rate(s.window.usual.rate(r.Account)), slack, now)
+	rate := s.shares.rate(s.window.usual.rate(r.Account))
 	switch {
-	case isWithin || r.IsContinuation:
+	case s.debts.take(r.Account, r.Tokens, rate, slack, now) || r.IsContinuation && s.continued.take(r.Account, r.Tokens, rate, slack, now):
 		return withinShare, sharePercent
 	case sent <= s.shares.grown(s.window.usual.accounts[r.Account]):
 		return beyondShare, sharePercent
--- a/fleet/prioritizer/share.go
+++ b/fleet/prioritizer/share.go
@@ -12,6 +12,8 @@
 const (
 	// shareInterval is how often the shares of the accounts are computed.
 	shareInterval = timekeeper.Second / 2
+	// youngShareDivisor makes a young gateway compute them more often: it learns much with each request.
+	youngShareDivisor = 4
 	// usableShare is the part of what engines serve that is divided among the accounts. The rest is headroom, so that requests within
 	// their share need not wait for each other.
 	usableShare = 0.8
@@ -73,7 +75,7 @@
 		capacity -= demand
 	}
 	if len(demands) == 0 {
-		return 0
+		return capacity
 	}
 
 	return demands[len(demands)-1]
--- a/router/internal/forwarder/priority.go
+++ b/router/internal/forwarder/priority.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cardamompulley/fleet/budgeter"
+	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/prioritizer"
@@ -88,7 +89,7 @@
 		Priority:       prioritizer.Of(p.route, p.account),
 		Target:         p.route.TargetLatency,
 		Tokens:         prioritizer.Cost(p.uncachedTokens(), p.outputTokens()),
-		IsContinuation: p.metadata.LastEventID != "",
+		IsContinuation: p.route.Kind == cataloguer.KindStream && p.metadata.LastEventID != "",
 	}
 	f := p.forwarder
 	f.mu.Lock()
