At a start, requests wait for the rest of a state whose first part is there

Change: with the configuration there and no call failed, requests wait up to 600 ms after the start, an eighth of their time at most. Metadata is decoded on arrival for that.

Found beside it and not mended: refusals of gateways that stop while all of their zone stop (docs/design/returns.md, open).

--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -59,9 +59,8 @@
 	ThrottlePlainServices bool
 	// StateReady is closed once the process has its first configuration and list of endpoints.
 	StateReady <-chan struct{}
-	// IsStateComing reports whether the first configuration and list of endpoints can be there soon: it is false once the store and other
-	// gateways are known not to give them.
-	IsStateComing func() bool
+	// StateOutlook returns what is known of the way to the first configuration and list of endpoints.
+	StateOutlook func() StateOutlook
 	// Prioritizes is true if priorities of the configuration are passed on to engines and decide who draws on the retry budget.
 	Prioritizes bool
 
@@ -109,7 +108,7 @@
 		StoreSilence:     func() timekeeper.Millis { return 0 },
 		BodyStallTimeout: defaultBodyStallTimeout,
 		StateReady:       make(chan struct{}),
-		IsStateComing:    func() bool { return true },
+		StateOutlook:     func() StateOutlook { return OutlookOpen },
 		clock:            clock,
 		log:              log,
 		pool:             p,
@@ -150,7 +149,7 @@
 // ServeHTTP forwards a caller's request to an endpoint and writes the response, or refuses the request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p := newProxiedRequest(f, w, r)
-	f.waitForState(r.Context())
+	p.waitForState()
 	defer func() { p.cancel() }()
 	defer p.releaseBody()
 	if refusal := p.prepare(); refusal != nil {
--- a/router/internal/forwarder/prepare.go
+++ b/router/internal/forwarder/prepare.go
@@ -9,20 +9,17 @@
 	"cardamompulley/fleet/hasher"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/quarantiner"
-	"cardamompulley/platform"
 )
 
 // prepare finds the request's route, client account and service and reads its body. It refuses requests that are not to be
 // forwarded.
 func (p *proxiedRequest) prepare() *model.Refusal {
 	p.view = p.forwarder.CurrentView()
-	metadata, err := platform.DecodeRequestMetadata(p.request.Header)
-	p.metadata = metadata
 	if p.view == nil {
 		return p.notReadyRefusal()
 	}
-	if err != nil {
-		return model.NewRefusal(model.CodeBadRequest, err.Error())
+	if p.metadataErr != nil {
+		return model.NewRefusal(model.CodeBadRequest, p.metadataErr.Error())
 	}
 	if refusal := p.admit(); refusal != nil {
 		return refusal
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -38,11 +38,13 @@
 	// lacksState is true if the request is refused because no configuration is known yet.
 	lacksState bool
 	metadata   model.RequestMetadata
-	route      *cataloguer.Route
-	service    model.ServiceID
-	account    cataloguer.Account
-	header     http.Header
-	body       []byte
+	// metadataErr is why the metadata cannot be decoded; metadata then holds what could.
+	metadataErr error
+	route       *cataloguer.Route
+	service     model.ServiceID
+	account     cataloguer.Account
+	header      http.Header
+	body        []byte
 	// bodyBytes is the memory that the body takes.
 	bodyBytes int64
 	arrival   bodyArrival
@@ -82,7 +84,10 @@
 }
 
 func newProxiedRequest(f *Forwarder, w http.ResponseWriter, r *http.Request) *proxiedRequest {
-	return &proxiedRequest{forwarder: f, writer: w, request: r, target: newTarget(r), arrivedAt: f.clock.Now(), cancel: func() {}, finishPrefill: func() {}}
+	p := &proxiedRequest{forwarder: f, writer: w, request: r, target: newTarget(r), arrivedAt: f.clock.Now(), cancel: func() {}, finishPrefill: func() {}}
+	p.metadata, p.metadataErr = platform.DecodeRequestMetadata(r.Header)
+
+	return p
 }
 
 func (p *proxiedRequest) timeLeft() timekeeper.Millis {
--- a/router/internal/forwarder/return_test.go
+++ b/router/internal/forwarder/return_test.go
@@ -17,13 +17,13 @@
 )
 
 // newForwarderWithoutView returns a forwarder that has just started, and what it logs.
-func newForwarderWithoutView(isComing func() bool) (*Forwarder, *bytes.Buffer) {
+func newForwarderWithoutView(outlook func() StateOutlook) (*Forwarder, *bytes.Buffer) {
 	f := newTestForwarder("127.0.0.1:1")
 	log := &bytes.Buffer{}
 	f.log = logger.NewLogger(log, "gateway")
 	f.CurrentView = func() *cataloguer.View { return nil }
 	f.StateReady = make(chan struct{})
-	f.IsStateComing = isComing
+	f.StateOutlook = outlook
 
 	return f, log
 }
@@ -53,7 +53,7 @@
 // Before a configuration is known, all callers came back together after 500 ms, and the log lines named no request. While the store is
 // away they are refused at once, each for a time of its own within the third of its time that it honours.
 func TestStartWhileTheStoreIsAway(t *testing.T) {
-	f, log := newForwarderWithoutView(func() bool { return false })
+	f, log := newForwarderWithoutView(func() StateOutlook { return OutlookAway })
 	begun := time.Now()
 	times := map[timekeeper.Millis]int{}
 	for n := range 100 {
@@ -87,7 +87,7 @@
 
 // While the first state may come, requests wait for it a short time, and are then told to come back no earlier than it has taken so far.
 func TestStartWhileTheStateIsComing(t *testing.T) {
-	f, _ := newForwarderWithoutView(func() bool { return true })
+	f, _ := newForwarderWithoutView(func() StateOutlook { return OutlookOpen })
 	begun := time.Now()
 	after := retryAfter(t, sendWithTimeout(f, "early", 15_000))
 	if took := time.Since(begun); took < 250*time.Millisecond {
@@ -101,7 +101,13 @@
 // A request that waits is refused as soon as the store is known to be away, and served as soon as the state is there.
 func TestWaitForStateEnds(t *testing.T) {
 	begun := time.Now()
-	f, _ := newForwarderWithoutView(func() bool { return time.Since(begun) < 60*time.Millisecond })
+	f, _ := newForwarderWithoutView(func() StateOutlook {
+		if time.Since(begun) < 60*time.Millisecond {
+			return OutlookOpen
+		}
+
+		return OutlookAway
+	})
 	if w := sendWithTimeout(f, "a", 15_000); w.Code != http.StatusServiceUnavailable || time.Since(begun) > 200*time.Millisecond {
 		t.Errorf("status %d after %v", w.Code, time.Since(begun))
 	}
@@ -114,6 +120,28 @@
 	}
 }
 
+// A part of the state is there when the wait after a start is over: a caller with time waits for the rest, one without is refused.
+func TestWaitForTheRestOfTheState(t *testing.T) {
+	cases := []struct {
+		outlook StateOutlook
+		timeout timekeeper.Millis
+		longest time.Duration
+		waits   bool
+	}{
+		{OutlookArriving, 15_000, 800 * time.Millisecond, true},
+		{OutlookArriving, 600, 500 * time.Millisecond, false},
+		{OutlookOpen, 15_000, 500 * time.Millisecond, false},
+	}
+	for _, c := range cases {
+		f, _ := newForwarderWithoutView(func() StateOutlook { return c.outlook })
+		begun := time.Now()
+		sendWithTimeout(f, "a", c.timeout)
+		if took := time.Since(begun); took > c.longest || (took > 550*time.Millisecond) != c.waits {
+			t.Errorf("outlook %d, a caller with %d ms: refused after %v", c.outlook, c.timeout, took)
+		}
+	}
+}
+
 // Refusals that are not about room keep the time that they have: what is told of a quarantine, and of a gateway that stops.
 func TestOtherRefusalsAreNotDeferred(t *testing.T) {
 	f := newTestForwarder("127.0.0.1:1")
--- a/router/internal/forwarder/shutdown.go
+++ b/router/internal/forwarder/shutdown.go
@@ -7,7 +7,6 @@
 
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
-	"cardamompulley/platform"
 )
 
 // shutdownRetryAfter is short because a caller that reconnects reaches another process.
@@ -45,8 +44,6 @@
 // RefuseAtShutdown refuses a request that arrives when the process is about to exit.
 func (f *Forwarder) RefuseAtShutdown(w http.ResponseWriter, r *http.Request) {
 	p := newProxiedRequest(f, w, r)
-	// If the attempt ID cannot be read, the refusal carries none.
-	p.metadata, _ = platform.DecodeRequestMetadata(r.Header)
 	if err := p.refuseBeforeBody(shutdownRefusal()); err != nil {
 		p.abortDisconnected()
 	}
--- a/router/internal/gateway/first_state.go
+++ b/router/internal/gateway/first_state.go
@@ -4,6 +4,7 @@
 	"cardamompulley/fleet/balancer"
 	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/router/internal/forwarder"
 )
 
 const (
@@ -22,13 +23,21 @@
 	hasAskedInVain bool
 }
 
-// isStateComing reports whether the first view can be there soon: not while the store is known to be away and another gateway has had no
-// copy.
-func (g *Gateway) isStateComing() bool {
+// stateOutlook returns what is known of the way to the first view. It does not come soon while the store is known to be away and another
+// gateway has had no copy.
+func (g *Gateway) stateOutlook() forwarder.StateOutlook {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-
-	return g.view.Load() != nil || g.firstState.storeFailures < startFailures || !g.firstState.hasAskedInVain
+	switch {
+	case g.view.Load() != nil:
+		return forwarder.OutlookOpen
+	case g.firstState.storeFailures >= startFailures && g.firstState.hasAskedInVain:
+		return forwarder.OutlookAway
+	case g.firstState.storeFailures == 0 && g.decoded.configuration != nil:
+		return forwarder.OutlookArriving
+	default:
+		return forwarder.OutlookOpen
+	}
 }
 
 // recordCopyAsked records the end of an exchange in which copies were asked for.
--- a/router/internal/gateway/first_state_test.go
+++ b/router/internal/gateway/first_state_test.go
@@ -8,6 +8,7 @@
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/router/internal/forwarder"
 )
 
 func newGatewayOf(gateways, readsPerSecond int) *Gateway {
@@ -24,26 +25,30 @@
 func TestStateIsComingUntilStoreAndGatewaysFail(t *testing.T) {
 	g := newGatewayOf(3, 2000)
 	failed := errors.New("status 503")
-	if !g.isStateComing() {
+	if g.stateOutlook() != forwarder.OutlookOpen {
 		t.Error("nothing has failed yet")
 	}
 	g.recordStoreResult(failed)
 	g.recordCopyAsked()
-	if !g.isStateComing() {
+	if g.stateOutlook() != forwarder.OutlookOpen {
 		t.Error("one call to the store has failed")
 	}
 	g.recordStoreResult(failed)
-	if g.isStateComing() {
+	if g.stateOutlook() != forwarder.OutlookAway {
 		t.Error("the store and another gateway have failed")
 	}
 	g.recordStoreResult(nil)
-	if !g.isStateComing() {
+	if g.stateOutlook() != forwarder.OutlookOpen {
 		t.Error("the store has answered again")
 	}
+	g.decoded.configuration = &cataloguer.Configuration{}
+	if g.stateOutlook() != forwarder.OutlookArriving {
+		t.Error("the configuration is there, and the list of endpoints asked for")
+	}
 	g.recordStoreResult(failed)
 	g.recordStoreResult(failed)
 	g.view.Store(cataloguer.NewView(nil, nil, nil, g.clock.Now()))
-	if !g.isStateComing() {
+	if g.stateOutlook() != forwarder.OutlookOpen {
 		t.Error("the state is there")
 	}
 }
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -114,7 +114,7 @@
 	g.forwarder.Prioritizes = s.Prioritizes
 	g.forwarder.CurrentView = g.view.Load
 	g.forwarder.StateReady = g.viewReady
-	g.forwarder.IsStateComing = g.isStateComing
+	g.forwarder.StateOutlook = g.stateOutlook
 	g.forwarder.ThrottlePlainServices = s.ThrottlePlainServices
 	g.forwarder.StoreSilence = g.storeSilence
 	g.forwarder.AskOrigin = g.peers.askOrigin
