Room: a caller that leaves after its request has lost its place does not stop the room

Cause (found in review): a request that loses its place to one of another account is told so at the next Advance. If its caller left before, its wait was gone, and the send to nobody held the room's lock for ever: every request of the service at that gateway hung.

Ruled out: ends of waits by deadline and shutdown, which take the same way through Cancel.

Change: Cancel also takes back requests that have lost their place. Test: TestCallerThatLeavesAfterItLostItsPlace, which hangs without the change and passes with it.

--- a/fleet/throttler/throttler.go
+++ b/fleet/throttler/throttler.go
@@ -172,9 +172,13 @@
 	}
 }
 
-// Cancel removes a waiting request and reports whether it was still waiting.
+// Cancel removes a waiting request and reports whether it was still waiting. One that has lost its place waits until Advance has told it.
 func (t *Throttler) Cancel(ticket queuer.Ticket) bool {
-	return len(t.queue.RemoveIf(func(r *queuer.Request) bool { return r.Ticket == ticket })) > 0
+	isCancelled := func(r *queuer.Request) bool { return r.Ticket == ticket }
+	wasEvicted := slices.ContainsFunc(t.evicted, func(r queuer.Request) bool { return isCancelled(&r) })
+	t.evicted = slices.DeleteFunc(t.evicted, func(r queuer.Request) bool { return isCancelled(&r) })
+
+	return len(t.queue.RemoveIf(isCancelled)) > 0 || wasEvicted
 }
 
 // Advance gives the room that there is to waiting requests, and refuses those that will get none in time.
--- a/router/internal/forwarder/room_test.go
+++ b/router/internal/forwarder/room_test.go
@@ -9,6 +9,7 @@
 
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/model"
+	"cardamompulley/fleet/queuer"
 	"cardamompulley/fleet/throttler"
 	"cardamompulley/fleet/timekeeper"
 )
@@ -126,3 +127,38 @@
 	leave()
 	checkEmpty(t, f)
 }
+
+// A request that has lost its place in the queue may leave before it is told so. The room must go on without it.
+func TestCallerThatLeavesAfterItLostItsPlace(t *testing.T) {
+	f, leave := newShortForwarder(t, 5*timekeeper.Second, true)
+	now, r := f.clock.Now(), f.room("s")
+	c := f.capacity(f.CurrentView(), "s", now)
+	arrive := func(account model.AccountID) queuer.Ticket {
+		request := throttler.Request{Account: account, ArrivedAt: now, TargetLatency: 5 * timekeeper.Second, Deadline: now + timekeeper.Minute}
+		_, ticket, _ := r.arrive(request, c, now)
+
+		return ticket
+	}
+	var tickets []queuer.Ticket
+	for range 2000 {
+		tickets = append(tickets, arrive("hot"))
+	}
+	for n := range 50 {
+		tickets = append(tickets, arrive(model.AccountID(rune('a'+n))))
+	}
+	for _, ticket := range tickets {
+		r.cancel(ticket)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.advance(now)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the room stands still after a request that had lost its place has left")
+	}
+	leave()
+	checkEmpty(t, f)
+}
