Even load: only requests that are placed count for the running time

Cause: a request that no endpoint can take was counted as a start, so a full service seemed to have shorter requests than it has. Change: the start is recorded once there is a candidate; a test of the gauge.

--- a/fleet/balancer/candidates.go
+++ b/fleet/balancer/candidates.go
@@ -32,8 +32,8 @@
 	// meanLoad includes endpoints that take no new work, as the operators' load bound does, but not those that advertise a limit, unless
 	// all do: the others carry the load that these do not take.
 	meanLoad float64
-	// unknownShare is the share of the loads of others that has changed unseen since their reports.
-	unknownShare float64
+	// expectation is what the loads to expect follow from.
+	expectation expectation
 }
 
 func (b *Balancer) candidates(v *cataloguer.View, service cataloguer.Service, r Request, now timekeeper.Millis) candidateSet {
@@ -72,8 +72,7 @@
 		}
 	}
 	set.meanLoad = sum.mean()
-	set.unknownShare = expect.unknownShare
-	expect.recordStart()
+	set.expectation = expect
 	// Outliers, then endpoints with an open breaker, then those that are about to leave, are the last resort: the request may still
 	// succeed there.
 	if len(set.candidates) == 0 {
--- a/fleet/balancer/choose.go
+++ b/fleet/balancer/choose.go
@@ -17,6 +17,7 @@
 	if len(set.candidates) == 0 {
 		return Choice{}, set.obstacles.refusal(r.Service)
 	}
+	set.expectation.recordStart()
 	if c := b.chooseTrial(set, r, now); c != nil {
 		return *c, nil
 	}
--- a/fleet/balancer/even_load_cases_test.go
+++ b/fleet/balancer/even_load_cases_test.go
@@ -159,3 +159,18 @@
 		})
 	}
 }
+
+func TestUnevennessIsThatOfExpectedLoads(t *testing.T) {
+	b := newTestBalancer()
+	v := newView(2, 2)
+	if u := b.Unevenness(v, 0); len(u) > 0 {
+		t.Errorf("%v without requests", u)
+	}
+	b.RecordStart("e-0-0", 0)
+	b.RecordStart("e-0-0", 0)
+	b.RecordStart("e-1-1", 0)
+	b.RecordStart("e-1-1", 0)
+	if u := b.Unevenness(v, 0); u[testService] != 2 {
+		t.Errorf("%v with two of four endpoints in use, want 2", u)
+	}
+}
--- a/fleet/balancer/spread.go
+++ b/fleet/balancer/spread.go
@@ -83,7 +83,7 @@
 		return float64(int(b.usableBoundShare(now)*b.loadMultiple*set.meanLoad) + loadSlack)
 	}
 
-	return spreader.Bound(b.loadMultiple*set.meanLoad+loadSlack, set.unknownShare, boundDeviations)
+	return spreader.Bound(b.loadMultiple*set.meanLoad+loadSlack, set.expectation.unknownShare, boundDeviations)
 }
 
 // isRoomy reports whether an endpoint is to be preferred for a session whose prompt no endpoint within the bound holds.
