--- a/fleet/balancer/even_load_cases_test.go
+++ b/fleet/balancer/even_load_cases_test.go
@@ -174,3 +174,29 @@
 		t.Errorf("%v with two of four endpoints in use, want 2", u)
 	}
 }
+
+// Guards against an endpoint that takes no requests, so that it looks idle, and draws all that spills.
+func TestSpilloverDoesNotPreferAnIdleEndpoint(t *testing.T) {
+	const requests, most = 200, 50
+	b := newTestBalancer()
+	b.Random = func() float64 { return 0.5 }
+	v := newView(1, 6)
+	for n, load := range []int{20, 0, 3, 3, 3, 3} {
+		for range load {
+			b.RecordStart(v.Endpoints(testService)[n].ID, 0)
+		}
+	}
+	idle := 0
+	for n := range requests {
+		c, refusal := b.Choose(v, Request{Service: testService, Session: uint64(1 + n)}, 0)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		if c.Endpoint.ID == v.Endpoints(testService)[1].ID {
+			idle++
+		}
+	}
+	if idle > most {
+		t.Errorf("%d of %d requests went to the idle one of six endpoints", idle, requests)
+	}
+}
--- a/fleet/balancer/spread.go
+++ b/fleet/balancer/spread.go
@@ -11,8 +11,8 @@
 	// boundDeviations is how many standard deviations an endpoint's load is expected to stay under the bound: a normal quantity lies
 	// further above its mean in 3 cases of 100, the share of requests that the operators allow over their bound.
 	boundDeviations = 1.88
-	// roomyShare is the share of the mean load under which an endpoint is roomy: it is then likely to be below the mean.
-	roomyShare = 0.5
+	// aliveShare is the share of the mean load under which an endpoint may be one that takes no requests, which looks idle.
+	aliveShare = 0.25
 	// equalCost is the difference in cost, as a share of the slots, that is no reason to prefer an endpoint.
 	equalCost = 0.02
 )
@@ -86,9 +86,10 @@
 	return spreader.Bound(b.loadMultiple*set.meanLoad+loadSlack, set.expectation.unknownShare, boundDeviations)
 }
 
-// isRoomy reports whether an endpoint is to be preferred for a session whose prompt no endpoint within the bound holds.
+// isRoomy reports whether an endpoint is to be preferred for a session whose prompt no endpoint within the bound holds: it serves requests,
+// and less than the mean.
 func (b *Balancer) isRoomy(set *candidateSet, c *candidate) bool {
-	return b.Random != nil && !c.isLimited && c.expected < roomyShare*set.meanLoad
+	return b.Random != nil && !c.isLimited && c.expected < set.meanLoad && c.expected > aliveShare*set.meanLoad
 }
 
 // chooseSpread returns one of the endpoints with the lowest costs, by a random number.
