Spreading: the load bound is never wider than without it

Cause: with twenty and more requests an endpoint, two standard deviations are less than the fifth of the bound that old reports leave free, and a hot account's requests grow while they do. Change: the narrower of the two bounds holds.

--- a/fleet/balancer/spread.go
+++ b/fleet/balancer/spread.go
@@ -77,13 +77,15 @@
 	}
 }
 
-// sessionBound returns the load from which an endpoint is over the bound for one more request of a session.
+// sessionBound returns the load from which an endpoint is over the bound for one more request of a session. With few requests an endpoint,
+// chance needs the most headroom; with many, a load that grows while reports are old.
 func (b *Balancer) sessionBound(set *candidateSet, now timekeeper.Millis) float64 {
+	usable := float64(int(b.usableBoundShare(now)*b.loadMultiple*set.meanLoad) + loadSlack)
 	if b.Random == nil {
-		return float64(int(b.usableBoundShare(now)*b.loadMultiple*set.meanLoad) + loadSlack)
+		return usable
 	}
 
-	return spreader.Bound(b.loadMultiple*set.meanLoad+loadSlack, set.expectation.unknownShare, boundDeviations)
+	return min(usable, spreader.Bound(b.loadMultiple*set.meanLoad+loadSlack, set.expectation.unknownShare, boundDeviations))
 }
 
 // isRoomy reports whether an endpoint is to be preferred for a session whose prompt no endpoint within the bound holds: it serves requests,
