--- a/fleet/balancer/even_load_cases_test.go
+++ b/fleet/balancer/even_load_cases_test.go
@@ -159,3 +159,44 @@
 		})
 	}
 }
+
+func TestUnevennessIsThatOfExpectedLoads(t *testing.T) {
+	b := newTestBalancer()
+	v := newView(2, 2)
+	if u := b.Unevenness(v, 0); len(u) > 0 {
+		t.Errorf("%v without requests", u)
+	}
+	b.RecordStart("e-0-0", 0)
+	b.RecordStart("e-0-0", 0)
+	b.RecordStart("e-1-1", 0)
+	b.RecordStart("e-1-1", 0)
+	if u := b.Unevenness(v, 0); u[testService] != 2 {
+		t.Errorf("%v with two of four endpoints in use, want 2", u)
+	}
+}
+
+// Guards against an endpoint that takes no requests, so that it looks idle, and draws all that spills.
+func TestSpilloverDoesNotPreferAnIdleEndpoint(t *testing.T) {
+	const requests, most = 200, 50
+	b := newTestBalancer()
+	b.Random = func() float64 { return 0.5 }
+	v := newView(1, 6)
+	for n, load := range []int{20, 0, 3, 3, 3, 3} {
+		for range load {
+			b.RecordStart(v.Endpoints(testService)[n].ID, 0)
+		}
+	}
+	idle := 0
+	for n := range requests {
+		c, refusal := b.Choose(v, Request{Service: testService, Session: uint64(1 + n)}, 0)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		if c.Endpoint.ID == v.Endpoints(testService)[1].ID {
+			idle++
+		}
+	}
+	if idle > most {
+		t.Errorf("%d of %d requests went to the idle one of six endpoints", idle, requests)
+	}
+}
