Locator: an endpoint holds nothing of the process before

Cause: holders are kept by endpoint ID. A process that is known to have ended, or that another one has followed under its ID, stood as a holder for up to a minute, and as a source from which others fetch.

Change: RecordEnd and a listed process that differs from the one before empty an endpoint's cache; what is recorded since counts.

--- a/fleet/balancer/balancer.go
+++ b/fleet/balancer/balancer.go
@@ -98,6 +98,8 @@
 	// keptRunning is the number of them that are expected to run still.
 	keptRunning float64
 	breaker     retrier.Breaker
+	// listed is the process that the list showed last.
+	listed model.EndpointProcess
 	// ended is the process that is known to have ended at endedAt, although it may still be listed.
 	ended   model.EndpointProcess
 	endedAt timekeeper.Millis
@@ -218,6 +220,7 @@
 func (b *Balancer) RecordEnd(p model.EndpointProcess, now timekeeper.Millis) {
 	s := b.state(p.ID)
 	s.ended, s.endedAt = p, now
+	b.holders.RecordEmpty(p.ID, now, now)
 }
 
 // SoftwareOf returns the software version that an endpoint runs. It is empty if that is not certain, because the listed process has
--- a/fleet/balancer/candidates.go
+++ b/fleet/balancer/candidates.go
@@ -49,6 +49,7 @@
 	expect := b.newExpectation(r.Service, now)
 	for _, e := range endpoints {
 		s := b.state(e.ID)
+		b.followProcess(s, e, now)
 		c := candidate{endpoint: e, load: s.running + s.remoteRunning, score: hasher.Mix(r.Session ^ s.seed)}
 		c.expected = expect.load(s)
 		c.isLimited = b.Limits.IsLimited(e.Process())
--- a/fleet/balancer/placement.go
+++ b/fleet/balancer/placement.go
@@ -47,6 +47,17 @@
 	}
 }
 
+// followProcess takes note of a process that has started under the ID of another one, whose prompts it does not hold.
+func (b *Balancer) followProcess(s *endpointState, e *cataloguer.Endpoint, now timekeeper.Millis) {
+	if s.listed == e.Process() {
+		return
+	}
+	if s.listed.ID != "" {
+		b.holders.RecordEmpty(e.ID, min(e.RunningSince, now), now)
+	}
+	s.listed = e.Process()
+}
+
 // countSources returns how many of the endpoints are reachable and run the software of an endpoint, which can fetch from these.
 func (b *Balancer) countSources(v *cataloguer.View, ids []model.EndpointID, e *cataloguer.Endpoint) int {
 	n := 0
--- a/fleet/balancer/placement_test.go
+++ b/fleet/balancer/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/model"
 )
 
@@ -65,4 +66,28 @@
 	}
 }
 
+// Guards against prompts that are to be fetched from a process that has ended, or from one that has started under its ID.
+func TestProcessesHoldNothingOfTheOnesBefore(t *testing.T) {
+	endings := map[string]func(*Balancer, *cataloguer.Endpoint){
+		"known to have ended": func(b *Balancer, e *cataloguer.Endpoint) { b.RecordEnd(e.Process(), 50) },
+		"another one listed":  func(_ *Balancer, e *cataloguer.Endpoint) { e.StartedAt, e.RunningSince = 50, 50 },
+	}
+	for name, end := range endings {
+		v := newView(1, 4)
+		b := newTestBalancer()
+		r := sessionRequest()
+		holder, _ := b.Choose(v, r, 0)
+		b.RecordAttemptEnd(v, r, holder, true, 10)
+		end(b, holder.Endpoint)
+		next, refusal := b.Choose(v, r, 60)
+		if refusal != nil || !next.NeedsPrefill || next.CacheSource != nil {
+			t.Errorf("%s: needs prefill %t, cache source %v: %v", name, next.NeedsPrefill, next.CacheSource, refusal)
+		}
+		b.RecordAttemptEnd(v, r, next, true, 70)
+		if again, _ := b.Choose(v, r, 80); again.NeedsPrefill {
+			t.Errorf("%s: what was read since is not known", name)
+		}
+	}
+}
+
 func first[T any](value T, _ uint64) T { return value }
--- a/fleet/locator/locator.go
+++ b/fleet/locator/locator.go
@@ -31,6 +31,8 @@
 type Locator struct {
 	ttl           timekeeper.Millis
 	holdersByPart *lru.Cache[PartHash, []cacheHolder]
+	// emptyAt is when the cache of an endpoint was last known to be empty.
+	emptyAt map[model.EndpointID]timekeeper.Millis
 }
 
 // NewLocator returns an empty index of at most maxParts prompt parts. An entry expires when it has not been used for ttl
@@ -39,7 +41,7 @@
 	// lru.New fails only for a size below one.
 	cache, _ := lru.New[PartHash, []cacheHolder](max(maxParts, 1))
 
-	return &Locator{ttl: ttl, holdersByPart: cache}
+	return &Locator{ttl: ttl, holdersByPart: cache, emptyAt: map[model.EndpointID]timekeeper.Millis{}}
 }
 
 // Record stores that an endpoint holds a prompt part and reports whether this is new.
@@ -49,7 +51,7 @@
 	updated := make([]cacheHolder, 0, maxHolders)
 	updated = append(updated, cacheHolder{endpoint: id, lastUsed: now})
 	for _, h := range current {
-		isFresh := now-h.lastUsed < l.ttl
+		isFresh := l.isFresh(h, now)
 		if h.endpoint == id {
 			isNew = !isFresh
 		} else if isFresh && len(updated) < maxHolders {
@@ -61,6 +63,24 @@
 	return isNew
 }
 
+// RecordEmpty records that the cache of an endpoint was empty at a time: what it held before is gone. Records older than the lifetime of
+// entries are dropped.
+func (l *Locator) RecordEmpty(id model.EndpointID, at, now timekeeper.Millis) {
+	for other, emptied := range l.emptyAt {
+		if now-emptied >= l.ttl {
+			delete(l.emptyAt, other)
+		}
+	}
+	l.emptyAt[id] = max(l.emptyAt[id], at)
+}
+
+// isFresh reports whether an endpoint is expected to hold a part still.
+func (l *Locator) isFresh(h cacheHolder, now timekeeper.Millis) bool {
+	emptied, ok := l.emptyAt[h.endpoint]
+
+	return now-h.lastUsed < l.ttl && (!ok || h.lastUsed > emptied)
+}
+
 // Forget removes an endpoint from the holders of a prompt part.
 func (l *Locator) Forget(part PartHash, id model.EndpointID) {
 	current, ok := l.holdersByPart.Peek(part)
@@ -75,7 +95,7 @@
 	current, _ := l.holdersByPart.Get(part)
 	ids := make([]model.EndpointID, 0, len(current))
 	for _, h := range current {
-		if now-h.lastUsed < l.ttl {
+		if l.isFresh(h, now) {
 			ids = append(ids, h.endpoint)
 		}
 	}
--- a/fleet/locator/locator_test.go
+++ b/fleet/locator/locator_test.go
@@ -86,3 +86,24 @@
 		t.Fatalf("holders = %v, want b", got)
 	}
 }
+
+func TestEmptiedCachesHoldNothingOfBefore(t *testing.T) {
+	const ttl = 100
+	l := NewLocator(2, ttl)
+	l.Record(1, "a", 10)
+	l.Record(1, "b", 10)
+	l.RecordEmpty("a", 20, 20)
+	if got := l.Holders(1, 30); !slices.Equal(got, []model.EndpointID{"b"}) {
+		t.Fatalf("holders = %v, want b", got)
+	}
+	if !l.Record(1, "a", 40) {
+		t.Fatal("Record does not report a holder as new whose cache was emptied")
+	}
+	if got := l.Holders(1, 50); !slices.Equal(got, []model.EndpointID{"a", "b"}) {
+		t.Fatalf("holders = %v, want a, b", got)
+	}
+	l.RecordEmpty("b", 20+ttl, 20+ttl)
+	if len(l.emptyAt) != 1 {
+		t.Fatalf("%d endpoints with an emptied cache are remembered, want 1", len(l.emptyAt))
+	}
+}
