--- a/router/internal/forwarder/room.go
+++ b/router/internal/forwarder/room.go
@@ -22,11 +22,11 @@
 
 // RoomState is the room of a service at this gateway, for the metrics page. Limit is zero while there is no shortage.
 type RoomState struct {
-	Service            model.ServiceID
-	Limit              float64
-	UnderWay, Waiting  int
-	Waited, Refused    int
-	WaitedMilliseconds timekeeper.Millis
+	Service           model.ServiceID
+	Limit             float64
+	UnderWay, Waiting int
+	Waited, Refused   int
+	WaitedTime        timekeeper.Millis
 }
 
 // room holds the requests to one plain service that are under way or wait at this gateway.
@@ -153,6 +153,6 @@
 
 	return RoomState{
 		Service: r.service, Limit: r.throttler.Limit(), UnderWay: r.throttler.UnderWay(), Waiting: r.throttler.Waiting(),
-		Waited: r.waited, Refused: r.refused, WaitedMilliseconds: r.waitedTime,
+		Waited: r.waited, Refused: r.refused, WaitedTime: r.waitedTime,
 	}
 }
--- a/router/internal/forwarder/room_test.go
+++ b/router/internal/forwarder/room_test.go
@@ -96,8 +96,8 @@
 	if w, _ := serve(f, "c"); w.Code != http.StatusOK {
 		t.Errorf("status %d, want 200", w.Code)
 	}
-	if s := f.RoomStates()[0]; s.Waited != 1 || s.WaitedMilliseconds == 0 {
-		t.Errorf("%d requests waited %d ms, want one that did", s.Waited, s.WaitedMilliseconds)
+	if s := f.RoomStates()[0]; s.Waited != 1 || s.WaitedTime == 0 {
+		t.Errorf("%d requests waited %d ms, want one that did", s.Waited, s.WaitedTime)
 	}
 	checkEmpty(t, f)
 }
--- a/router/internal/gateway/handlers.go
+++ b/router/internal/gateway/handlers.go
@@ -13,6 +13,7 @@
 	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
+	"cardamompulley/router/internal/forwarder"
 )
 
 // readyHandler responds with 200 while ready returns true, else with 503.
@@ -30,7 +31,7 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		metrics.WritePrometheus(w, true)
 		// An error means that the client has disconnected.
-		_, _ = fmt.Fprintf(w, "control_bytes_total %d\n%s%s", g.controlTraffic.Total(), g.gauges(), g.unevenness())
+		_, _ = fmt.Fprintf(w, "control_bytes_total %d\n%s%s%s", g.controlTraffic.Total(), g.gauges(), g.unevenness(), roomMetrics(g.forwarder.RoomStates()))
 	})
 }
 
@@ -78,3 +79,21 @@
 
 	return lines.String()
 }
+
+// roomMetrics returns the metrics of the rooms of plain services.
+func roomMetrics(rooms []forwarder.RoomState) string {
+	var b strings.Builder
+	for _, r := range rooms {
+		write := func(name string, value float64) {
+			fmt.Fprintf(&b, "gateway_room_%s{service=%q} %g\n", name, r.Service, value)
+		}
+		write("limit", r.Limit)
+		write("under_way", float64(r.UnderWay))
+		write("waiting", float64(r.Waiting))
+		write("waited_total", float64(r.Waited))
+		write("waited_seconds_total", r.WaitedTime.Duration().Seconds())
+		write("refused_total", float64(r.Refused))
+	}
+
+	return b.String()
+}
