Throttler: a shortage needs full endpoints, and known places are room

Change: endpoints count as full with all slots taken and half as many requests waiting; a shortage begins only then (or with a repeated rejection), and a request starts while they are not, unless endpoints reject one in twenty.

--- a/fleet/throttler/limit.go
+++ b/fleet/throttler/limit.go
@@ -24,10 +24,13 @@
 	slowDecrease      = 0.95
 	strongDecrease    = 0.7
 	rejectionDecrease = 0.8
-	// busyShare is the share of the slots in use from which on a service can be short of room, and idleShare the one below which it certainly
-	// is not.
-	busyShare = 0.85
+	// idleShare is the share of the slots in use below which a service certainly has room.
 	idleShare = 0.5
+	// usableRejections is the share of requests that are rejected from which on a gateway counts on free slots only, not on places in the
+	// queues of endpoints.
+	usableRejections = 0.05
+	// WaitingShare is how many requests may wait at an endpoint whose slots are taken, as a share of its slots, before it counts as full.
+	WaitingShare = 0.5
 	// calmTime is how long nothing may have waited or been rejected before the limit ends.
 	calmTime = 500 * timekeeper.Millis(1)
 	// repeatedRejectionTime is the time within which a second rejection shows a shortage although the service did not seem busy.
@@ -210,6 +213,15 @@
 	}
 }
 
+// usable returns the number of requests that the endpoints take now whatever the limit, as far as this gateway knows.
+func (l *limit) usable(c Capacity) int {
+	if l.rejectedShare >= usableRejections {
+		return c.Slots - c.Taken
+	}
+
+	return c.Spare
+}
+
 // wasRejected reports whether an endpoint has rejected a request not long ago.
 func (l *limit) wasRejected(now timekeeper.Millis) bool {
 	return l.rejectedAt > 0 && now-l.rejectedAt <= repeatedRejectionTime
@@ -262,7 +274,7 @@
 
 // isBusy reports whether the service can be short of room, as far as this gateway knows.
 func (c Capacity) isBusy() bool {
-	return c.Slots > 0 && float64(c.Taken) >= busyShare*float64(c.Slots)
+	return c.Slots > 0 && c.Spare == 0
 }
 
 // hasFree reports whether there are free slots, as far as this gateway knows.
--- a/fleet/throttler/throttler.go
+++ b/fleet/throttler/throttler.go
@@ -29,7 +29,9 @@
 	Endpoints int
 	Slots     int
 	Taken     int
-	Gateways  int
+	// Spare is the number of requests that the endpoints can take before WaitingShare of their slots' number wait at each of them.
+	Spare    int
+	Gateways int
 }
 
 // Action is the result of a decision.
@@ -78,8 +80,8 @@
 	floor    floor
 	underWay underWay
 	capacity Capacity
-	// freeSlots are the slots that were free when the capacity was last observed, less the requests that have started since.
-	freeSlots int
+	// freePlaces is what the endpoints could take when the capacity was last observed, less the requests that have started since.
+	freePlaces int
 	// evicted are waiting requests that have lost their place to a request of another account.
 	evicted []queuer.Request
 }
@@ -113,7 +115,7 @@
 
 // Observe takes in what the gateway knows of the service. Advance should follow, so that waiting requests go before a new one.
 func (t *Throttler) Observe(c Capacity, now timekeeper.Millis) {
-	t.capacity, t.freeSlots = c, c.Slots-c.Taken
+	t.capacity, t.freePlaces = c, t.limit.usable(c)
 	t.limit.update(c, now)
 }
 
@@ -148,10 +150,10 @@
 	return q
 }
 
-// hasRoom reports whether a request of a priority may start: slots are known to be free, or the limit has room. Beside more urgent ones it
+// hasRoom reports whether a request of a priority may start: the endpoints are known to take it, or the limit has room. Beside more urgent ones it
 // leaves room of the limit for the next of them.
 func (t *Throttler) hasRoom(p queuer.Priority, now timekeeper.Millis) bool {
-	if t.freeSlots > 0 {
+	if t.freePlaces > 0 {
 		return true
 	}
 	if t.demand.moreUrgent(p, now) < minMoreUrgent || t.floor.isStarved(p, now) {
@@ -165,7 +167,7 @@
 func (t *Throttler) start(p queuer.Priority, now timekeeper.Millis) {
 	t.limit.recordStart(t.underWay.count(now), now)
 	t.underWay.add(now)
-	t.freeSlots--
+	t.freePlaces--
 	t.floor.recordStart(p, now)
 }
 
@@ -196,7 +198,7 @@
 func (t *Throttler) Advance(now timekeeper.Millis) Changes {
 	t.limit.update(t.capacity, now)
 	var c Changes
-	for t.queue.Len() > 0 && (t.freeSlots > 0 || t.limit.hasRoom(t.underWay.count(now), now)) {
+	for t.queue.Len() > 0 && (t.freePlaces > 0 || t.limit.hasRoom(t.underWay.count(now), now)) {
 		next, ok := t.next(now)
 		if !ok {
 			break
--- a/fleet/throttler/wait.go
+++ b/fleet/throttler/wait.go
@@ -18,7 +18,7 @@
 	// minMoreUrgent is the rate of more urgent arrivals, in requests a second, from which on less urgent ones leave room for them.
 	minMoreUrgent = 0.1
 	// waitMargin is how much longer a wait can become because requests of other accounts that arrive later start before.
-	waitMargin = 3
+	waitMargin = 2
 	// queuePerTarget bounds the queue, as a multiple of the requests that start within one target latency.
 	queuePerTarget = 2
 	minQueue       = 4
--- a/router/internal/forwarder/throttle.go
+++ b/router/internal/forwarder/throttle.go
@@ -191,9 +191,11 @@
 func (f *Forwarder) capacity(v *cataloguer.View, id model.ServiceID, now timekeeper.Millis) throttler.Capacity {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	endpoints, slots, taken := f.balancer.Capacity(v, id, now)
+	c := f.balancer.Capacity(v, id, throttler.WaitingShare, now)
 
-	return throttler.Capacity{Endpoints: endpoints, Slots: slots, Taken: taken, Gateways: len(f.balancer.Membership.Members())}
+	return throttler.Capacity{
+		Endpoints: c.Endpoints, Slots: c.Slots, Taken: c.Taken, Spare: c.Spare, Gateways: len(f.balancer.Membership.Members()),
+	}
 }
 
 // RoomStates returns the rooms of all services, in the order of their IDs.
