--- a/fleet/queuer/queue_test.go
+++ b/fleet/queuer/queue_test.go
@@ -73,3 +73,45 @@
 		})
 	}
 }
+
+func TestLateRequestsGoLast(t *testing.T) {
+	q := NewQueue(0)
+	q.Push(Request{Ticket: 1, Account: "a", Priority: interactive, OnTimeUntil: 10})
+	q.Push(Request{Ticket: 2, Account: "b", Priority: batch, OnTimeUntil: 100})
+	if _, tickets := popAll(q, 50); tickets[0] != 2 {
+		t.Errorf("order %v, want the request that can be on time first", tickets)
+	}
+}
+
+func TestAccountKeepsWhatItHasBeenServed(t *testing.T) {
+	for _, keeps := range []bool{false, true} {
+		q := NewQueue(0)
+		q.KeepsShares = keeps
+		q.Charge(&Request{Account: "a"})
+		q.Push(Request{Ticket: 1, Account: "a"})
+		q.Push(Request{Ticket: 2, Account: "b"})
+		first := Ticket(1)
+		if keeps {
+			first = 2
+		}
+		if _, tickets := popAll(q, 0); tickets[0] != first {
+			t.Errorf("keeps shares %t: order %v, want %d first", keeps, tickets, first)
+		}
+	}
+}
+
+func TestCountBeforeIsTheOrderOfStarts(t *testing.T) {
+	q := NewQueue(0)
+	q.KeepsShares = true
+	for n := range 12 {
+		q.Push(Request{Ticket: Ticket(n), Account: model.AccountID(rune('a' + n%3)), Priority: Priority(n % 2)})
+	}
+	q.Pop(0)
+	newcomer := Request{Ticket: 100, Account: "b", Priority: 0}
+	before := q.CountBefore(&newcomer, 0)
+	q.Push(newcomer)
+	_, tickets := popAll(q, 0)
+	if before >= len(tickets) || tickets[before] != newcomer.Ticket {
+		t.Errorf("%d counted before the newcomer, order %v", before, tickets)
+	}
+}
