--- a/router/internal/forwarder/room.go
+++ b/router/internal/forwarder/room.go
@@ -22,11 +22,11 @@
 
 // RoomState is the room of a service at this gateway, for the metrics page. Limit is zero while there is no shortage.
 type RoomState struct {
-	Service            model.ServiceID
-	Limit              float64
-	UnderWay, Waiting  int
-	Waited, Refused    int
-	WaitedMilliseconds timekeeper.Millis
+	Service           model.ServiceID
+	Limit             float64
+	UnderWay, Waiting int
+	Waited, Refused   int
+	WaitedTime        timekeeper.Millis
 }
 
 // room holds the requests to one plain service that are under way or wait at this gateway.
@@ -57,7 +57,9 @@
 	defer r.mu.Unlock()
 	r.lastTicket++
 	request.Ticket = r.lastTicket
-	d = r.throttler.Arrive(request, c, now)
+	r.throttler.Observe(c, now)
+	r.grantRoom(now)
+	d = r.throttler.Arrive(request, now)
 	switch d.Action {
 	case throttler.ActionWait:
 		waiter := make(chan grant, 1)
@@ -153,6 +155,6 @@
 
 	return RoomState{
 		Service: r.service, Limit: r.throttler.Limit(), UnderWay: r.throttler.UnderWay(), Waiting: r.throttler.Waiting(),
-		Waited: r.waited, Refused: r.refused, WaitedMilliseconds: r.waitedTime,
+		Waited: r.waited, Refused: r.refused, WaitedTime: r.waitedTime,
 	}
 }
