--- a/fleet/balancer/spread.go
+++ b/fleet/balancer/spread.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// boundDeviations is how many standard deviations an endpoint's load is expected to stay under the bound: a normal quantity lies
-	// further above its mean in 3 cases of 100, the share of requests that the operators allow over their bound.
-	boundDeviations = 1.88
+	// boundDeviations is how many standard deviations an endpoint's load is expected to stay under the usable bound: a normal quantity lies
+	// further above its mean in 7 cases of 100. The usable bound itself leaves room for loads that grow while reports are old.
+	boundDeviations = 1.5
 	// aliveShare is the share of the mean load under which an endpoint may be one that takes no requests, which looks idle.
 	aliveShare = 0.25
 	// equalCost is the difference in cost, as a share of the slots, that is no reason to prefer an endpoint.
@@ -80,12 +80,12 @@
 // sessionBound returns the load from which an endpoint is over the bound for one more request of a session. With few requests an endpoint,
 // chance needs the most headroom; with many, a load that grows while reports are old.
 func (b *Balancer) sessionBound(set *candidateSet, now timekeeper.Millis) float64 {
-	usable := float64(int(b.usableBoundShare(now)*b.loadMultiple*set.meanLoad) + loadSlack)
+	usable := b.usableBoundShare(now) * b.loadMultiple * set.meanLoad
 	if b.Random == nil {
-		return usable
+		return float64(int(usable) + loadSlack)
 	}
 
-	return min(usable, spreader.Bound(b.loadMultiple*set.meanLoad+loadSlack, set.expectation.unknownShare, boundDeviations))
+	return spreader.Bound(usable+loadSlack, set.expectation.unknownShare, boundDeviations)
 }
 
 // isRoomy reports whether an endpoint is to be preferred for a session whose prompt no endpoint within the bound holds: it serves requests,
