First state: a long start tells callers no ever longer times

Cause: while the first state may still come, a refusal told the time since the start of the process. A store that answers but has no configuration yet, or a gateway that knows no other one (nobody is asked for copies in vain), never counts as away, so that a minute after the start callers were told 60 s, after an hour 3,600 s; they are then no longer there when the state is. Ruled out: the deferrer, which rightly tells an earliest time beyond the caller's time as it stands; the outlook, as the store does answer. Change: from 1.2 s after the start (twice the longest wait for the state) the time counts as unforeseen, as while the store is away: a caller comes back in the second half of the time that it honours.

--- a/router/internal/forwarder/first_state.go
+++ b/router/internal/forwarder/first_state.go
@@ -12,6 +12,9 @@
 	maxStartupWait = 300 * timekeeper.Millis(1)
 	// maxArrivingWait replaces maxStartupWait once a part of the state is there: the rest is likely to take as long again.
 	maxArrivingWait = 2 * maxStartupWait
+	// maxForeseenWait is the time since the start from which it does not tell any more when the first state comes: a store that has no
+	// configuration answers, and a gateway without others asks nobody in vain.
+	maxForeseenWait = 2 * maxArrivingWait
 	// startupWaitDivisor limits the wait for a state that arrives to the caller's time divided by it.
 	startupWaitDivisor = 8
 	// startupCheckInterval is how often a request that waits looks whether waiting has become pointless.
@@ -67,13 +70,14 @@
 }
 
 // notReadyRefusal returns the refusal of a request that arrives before a configuration is known. While one may come soon, the process
-// has waited for it since its start, and is likely to wait as long again.
+// has waited for it since its start, and is likely to wait as long again. After maxForeseenWait nothing tells any more when it comes.
 func (p *proxiedRequest) notReadyRefusal() *model.Refusal {
 	p.lacksState = true
 	refusal := model.NewRefusal(model.CodeNotReady, "no configuration is known yet")
-	if p.forwarder.StateOutlook() == OutlookAway {
+	sinceStart := p.forwarder.clock.Now() - p.forwarder.startedAt
+	if p.forwarder.StateOutlook() == OutlookAway || sinceStart >= maxForeseenWait {
 		return refusal.AsUnforeseen()
 	}
 
-	return refusal.WithRetryAfter(max(p.forwarder.clock.Now()-p.forwarder.startedAt, 1))
+	return refusal.WithRetryAfter(max(sinceStart, 1))
 }
--- a/router/internal/forwarder/return_test.go
+++ b/router/internal/forwarder/return_test.go
@@ -97,6 +97,20 @@
 	}
 }
 
+// A store that has no configuration answers, and a gateway without others asks nobody in vain: callers are not told to stay away for as long
+// as the process has run.
+func TestLongStartTellsNoLongerTimes(t *testing.T) {
+	for _, outlook := range []StateOutlook{OutlookOpen, OutlookArriving} {
+		for _, running := range []timekeeper.Millis{2 * timekeeper.Second, timekeeper.Minute, timekeeper.Hour} {
+			f, _ := newForwarderWithoutView(func() StateOutlook { return outlook })
+			f.startedAt -= running
+			if after := retryAfter(t, sendWithTimeout(f, "a", 15_000)); after < 2400 || after > 5000 {
+				t.Errorf("outlook %d, %d ms after the start: Retry-After %d ms, want half to the whole of a third of 15 s", outlook, running, after)
+			}
+		}
+	}
+}
+
 // A request that waits is refused as soon as the store is known to be away, and served as soon as the state is there.
 func TestWaitForStateEnds(t *testing.T) {
 	begun := time.Now()
