Estimator: work that is not done holds nobody up

Cause: the work of a request was counted at its endpoint when the request was sent, and stayed when the endpoint refused it or the attempt failed: 20 refused requests at one moment made 3,506 ms of 206 expected of the next, and an endpoint that had refused for a while was avoided after it had room again. A caller also could state a prompt of any length: its endpoint counted as busy for that work though it had answered at once (188 s of 43 ms), and with enough parts the time overflowed in the conversion to an integer, which differs between processors. Ruled out: forgetting the endpoint's state at a refusal, which would lose the other work there; a limit to stated lengths, which is not known here. Change: an attempt that ends before its endpoint has begun to answer takes its work back; an answer that came within a time leaves no more work than that time; a forecast is an hour at most.

--- a/fleet/estimator/estimator.go
+++ b/fleet/estimator/estimator.go
@@ -64,6 +64,14 @@
 	s.busyUntil = max(s.busyUntil, now) + x.Work
 }
 
+// RecordNotBegun takes back what RecordStart has recorded for a request that has ended before its endpoint has begun to answer: the endpoint
+// has refused it, or does not work on it any more.
+func (e *Estimator) RecordNotBegun(p model.EndpointProcess, x Expectation) {
+	if s, ok := e.endpoints[p]; ok {
+		s.busyUntil -= x.Work
+	}
+}
+
 // Answer is the first event of an answer.
 type Answer struct {
 	Service  model.ServiceID
@@ -90,6 +98,8 @@
 	m.learn(a.Work, usual)
 	slowdown := a.Slowdown
 	if a.Expected.IsKnown {
+		// The endpoint has not worked on the prompt for longer than the answer took.
+		e.state(a.Endpoint).busyUntil -= max(a.Expected.Work-a.Took, 0)
 		m.recordError(float64(a.Expected.First), float64(a.Took))
 		if slowdown == 0 {
 			slowdown = e.inferSlowdown(a)
--- a/fleet/estimator/estimator_test.go
+++ b/fleet/estimator/estimator_test.go
@@ -159,3 +159,43 @@
 		t.Errorf("%d endpoints after Prune", len(e.endpoints))
 	}
 }
+
+// A request that an endpoint refuses, or that ends before the endpoint has begun to answer, leaves no work there.
+func TestWorkThatHasNotBegunIsTakenBack(t *testing.T) {
+	e := NewEstimator()
+	train(e, 0)
+	w := Work{Read: 10_000}
+	idle := e.Expect(testService, process("new"), w, 1000)
+	for range 20 {
+		x := e.Expect(testService, process("new"), w, 1000)
+		e.RecordStart(process("new"), x, 1000)
+		e.RecordNotBegun(process("new"), x)
+	}
+	if x := e.Expect(testService, process("new"), w, 1000); x.First != idle.First {
+		t.Errorf("after 20 refused requests %d ms are expected, want %d", x.First, idle.First)
+	}
+	e.RecordNotBegun(process("gone"), idle)
+	if len(e.endpoints) != 2 {
+		t.Errorf("%d endpoints are known, want those of the training and of this test", len(e.endpoints))
+	}
+}
+
+// A caller that states a prompt of any length neither keeps others from an endpoint that has answered it nor makes times overflow.
+func TestStatedLengthOfAnySizeKeepsNobodyAway(t *testing.T) {
+	e := NewEstimator()
+	train(e, 0)
+	usual := e.Expect(testService, process("new"), Work{Read: 100}, 1000)
+	for n, tokens := range []model.Tokens{10_000_000, 1 << 47, math.MaxInt64} {
+		now := 1000 + 100*timekeeper.Millis(n)
+		w := Work{Read: tokens, Fetched: tokens}
+		x := e.Expect(testService, process("new"), w, now)
+		if x.First <= 0 || x.Work <= 0 || x.First > 2*maxForecast {
+			t.Fatalf("%d tokens: %+v", tokens, x)
+		}
+		e.RecordStart(process("new"), x, now)
+		e.RecordFirst(Answer{Service: testService, Endpoint: process("new"), Work: w, Expected: x, Took: 60, Slowdown: 1}, now+60)
+		if after := e.Expect(testService, process("new"), Work{Read: 100}, now+60); after.First > 2*usual.First {
+			t.Errorf("%d tokens: %d ms are expected of the next request, want about %d", tokens, after.First, usual.First)
+		}
+	}
+}
--- a/fleet/estimator/service_model.go
+++ b/fleet/estimator/service_model.go
@@ -20,6 +20,8 @@
 	fetchedPerRead = 8
 	// errorWeight is the weight of a new answer in the mean error of forecasts.
 	errorWeight = 0.02
+	// maxForecast is the longest time that is forecast: callers may state prompts of any length.
+	maxForecast = timekeeper.Hour
 )
 
 // Work is what an endpoint has to do before the first event of an answer: the tokens of the prompt that it reads, and those that it fetches
@@ -114,5 +116,7 @@
 
 func abs(x float64) float64 { return max(x, -x) }
 
-// toMillis rounds a time to whole milliseconds.
-func toMillis(ms float64) timekeeper.Millis { return timekeeper.Millis(ms + 0.5) }
+// toMillis rounds a time to whole milliseconds, maxForecast at most.
+func toMillis(ms float64) timekeeper.Millis {
+	return timekeeper.Millis(min(ms+0.5, float64(maxForecast)))
+}
--- a/router/internal/forwarder/cost.go
+++ b/router/internal/forwarder/cost.go
@@ -22,6 +22,16 @@
 	})
 }
 
+// recordWorkEnd takes the work of an attempt back whose endpoint has not begun to answer.
+func (p *proxiedRequest) recordWorkEnd(isServed bool) {
+	if !p.choice.Forecast.IsKnown || isServed || p.stream.hasEvents {
+		return
+	}
+	p.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) {
+		b.Costs.RecordNotBegun(p.choice.Endpoint.Process(), p.choice.Forecast)
+	})
+}
+
 // recordFirstEvent lets the balancer learn from the first event of an attempt. What an endpoint does for a stream that it resumes is not
 // known.
 func (p *proxiedRequest) recordFirstEvent() {
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -156,6 +156,7 @@
 	}
 
 	p.recordWorkStart()
+	defer func() { p.recordWorkEnd(isServed) }()
 	failure := p.sendToEndpoint()
 	isServed = failure == nil
 
