Decisions under load: names and comments that needed a second reading

Two functions of the forwarder were named recordAnswer (one counts the usual rate of a service, one an engine's answer by its level); the time over which all gateways call the store was computed twice; the estimator had its own math.Abs; long comment lines. storeBackoff's comment says what its bound leaves open: gateways that are not known yet, and pauses of maxBackoff. No change of behaviour; tests of the packages unchanged.

--- a/fleet/balancer/choose.go
+++ b/fleet/balancer/choose.go
@@ -46,9 +46,9 @@
 
 // chooseForSession returns the first match among the endpoints within the load bound: a holder of the session's prompt in
 // the gateway's own failure domain, the endpoint ranked first for the session, another holder, a roomy endpoint of the own failure domain,
-// any roomy endpoint, an endpoint of the own failure domain, any endpoint, an endpoint that advertises a limit. Such an endpoint is ranked first for sessions whose prompt it
-// holds or nobody does, so that its few requests spare as much prefill as they can; for others only while it has a surplus. If
-// all are over the bound, it returns the least loaded endpoint.
+// any roomy endpoint, an endpoint of the own failure domain, any endpoint, an endpoint that advertises a limit. Such an endpoint is
+// ranked first for sessions whose prompt it holds or nobody does, so that its few requests spare as much prefill as they can; for others only
+// while it has a surplus. If all are over the bound, it returns the least loaded endpoint.
 func (b *Balancer) chooseForSession(set candidateSet, r Request, now timekeeper.Millis) Choice {
 	cs := set.candidates
 	limit := b.sessionBound(&set, now)
--- a/fleet/balancer/placement.go
+++ b/fleet/balancer/placement.go
@@ -11,8 +11,8 @@
 // another if that ends.
 const enoughHolders = 2
 
-// recordPlacement records that an endpoint processes the shared parts of a prompt, and queues for other gateways what they need to know. It returns the
-// parts that the endpoint was not known to hold.
+// recordPlacement records that an endpoint processes the shared parts of a prompt, and queues for other gateways what they need to
+// know. It returns the parts that the endpoint was not known to hold.
 //
 // Load that it answers: the first parts of prompts are shared by many sessions and come to lie at all endpoints of a service. To tell each
 // of these placements would take the bytes that gateways may exchange from the placements of sessions, which lie at one endpoint.
--- a/fleet/estimator/estimator.go
+++ b/fleet/estimator/estimator.go
@@ -52,7 +52,6 @@
 	if s, ok := e.endpoints[p]; ok {
 		slowdown, queued = e.memory.at(s.figure, now), max(s.busyUntil-now, 0)
 	}
-
 	usual := m.fixed + work
 
 	return Expectation{First: toMillis(slowdown*usual) + queued, IsKnown: true, Work: toMillis(slowdown * work), usual: usual + float64(queued)}
--- a/fleet/estimator/service_model.go
+++ b/fleet/estimator/service_model.go
@@ -1,6 +1,7 @@
 package estimator
 
 import (
+	"math"
 	"slices"
 
 	"cardamompulley/fleet/model"
@@ -105,7 +106,7 @@
 
 // recordError takes in how far a forecast was from the time that an answer took.
 func (m *serviceModel) recordError(forecast, took float64) {
-	relative := min(abs(took-forecast)/max(took, 1), 1)
+	relative := min(math.Abs(took-forecast)/max(took, 1), 1)
 	if !m.hasError {
 		m.meanError, m.hasError = relative, true
 
@@ -114,8 +115,6 @@
 	m.meanError += errorWeight * (relative - m.meanError)
 }
 
-func abs(x float64) float64 { return max(x, -x) }
-
 // toMillis rounds a time to whole milliseconds, maxForecast at most.
 func toMillis(ms float64) timekeeper.Millis {
 	return timekeeper.Millis(min(ms+0.5, float64(maxForecast)))
--- a/fleet/locator/placement_log.go
+++ b/fleet/locator/placement_log.go
@@ -47,7 +47,6 @@
 func (l *PlacementLog) Since(sequence uint64, limit int) ([]Placement, uint64) {
 	end := l.firstSequence + uint64(len(l.placements))
 	start := min(max(sequence, l.firstSequence), end)
-
 	unsent := slices.Clone(l.placements[start-l.firstSequence:])
 	unsent = slices.DeleteFunc(unsent, func(p Placement) bool { return p == Placement{} })
 
--- a/router/internal/forwarder/outcome.go
+++ b/router/internal/forwarder/outcome.go
@@ -100,8 +100,8 @@
 // one only once the endpoint has turned out to be alive.
 func (p *proxiedRequest) recordServed(status int, isFramed bool) {
 	requestsServed.Inc()
-	p.forwarder.recordAnswer(p.service)
-	p.recordAnswer()
+	p.forwarder.recordServedAnswer(p.service)
+	p.recordEngineAnswer()
 	if status < 300 && isFramed {
 		p.forwarder.clearSuspects(p.suspects)
 	}
--- a/router/internal/forwarder/priority.go
+++ b/router/internal/forwarder/priority.go
@@ -134,8 +134,8 @@
 	return p.priority.isDecided && p.priority.decision.Level != prioritizer.NoLevel
 }
 
-// recordAnswer records that an engine has begun to answer.
-func (p *proxiedRequest) recordAnswer() {
+// recordEngineAnswer records that an engine has begun to answer.
+func (p *proxiedRequest) recordEngineAnswer() {
 	s := &p.priority
 	if !p.hasEngineLevel() || s.isAnswered {
 		return
--- a/router/internal/forwarder/return.go
+++ b/router/internal/forwarder/return.go
@@ -72,8 +72,8 @@
 	return f.returns.Out(f.clock.Now())
 }
 
-// recordAnswer counts a whole answer of a service, by which its usual rate is known.
-func (f *Forwarder) recordAnswer(id model.ServiceID) {
+// recordServedAnswer counts a whole answer of a service, by which its usual rate is known.
+func (f *Forwarder) recordServedAnswer(id model.ServiceID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.returns.RecordServed(id, f.clock.Now())
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -100,7 +100,7 @@
 	p.stream.hasStarted = true
 	p.stream.software = p.forwarder.softwareOf(p.choice.Endpoint)
 	p.recordOrigin()
-	p.recordAnswer()
+	p.recordEngineAnswer()
 	p.finishPrefill()
 	firstByteSeconds.Update(float64(p.forwarder.clock.Now()-p.arrivedAt) / 1000)
 	p.writeHeader(response.StatusCode, endToEndHeaders(response.Header), -1)
--- a/router/internal/gateway/first_state.go
+++ b/router/internal/gateway/first_state.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"cardamompulley/fleet/balancer"
-	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/timekeeper"
 	"cardamompulley/router/internal/forwarder"
 )
@@ -50,15 +48,12 @@
 }
 
 // storeBackoff returns the longest mean pause between calls to a store that fails. Without a view it is short, so that callers are served
-// soon after the store is back; all gateways together then use at most rereadShare of the calls that the store serves.
+// soon after the store is back; all gateways that are known then use at most rereadShare of the calls that the store serves, unless a pause
+// of maxBackoff is too short for that.
 func (g *Gateway) storeBackoff() timekeeper.Millis {
 	if g.view.Load() != nil {
 		return maxBackoff
 	}
-	gateways := 1
-	g.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) { gateways = len(b.Membership.Members()) })
-	perSecond := rereadShare * float64(g.settings.StoreReadsPerSecond)
-	pause := timekeeper.Millis(float64(gateways) / perSecond * float64(timekeeper.Second))
 
-	return min(max(pause, maxStartBackoff), maxBackoff)
+	return min(max(g.storeCallTime(1), maxStartBackoff), maxBackoff)
 }
--- a/router/internal/gateway/store_sync.go
+++ b/router/internal/gateway/store_sync.go
@@ -109,11 +109,17 @@
 // rereadSpread returns the time over which all gateways read their ranges again, so that they use at most rereadShare of the
 // calls per second that the store serves.
 func (g *Gateway) rereadSpread() timekeeper.Millis {
+	return 1 + g.storeCallTime(rereadCalls)
+}
+
+// storeCallTime returns the time over which each of the known gateways may make a number of calls to the store, so that all together use
+// rereadShare of the calls per second that it serves.
+func (g *Gateway) storeCallTime(calls int) timekeeper.Millis {
 	gateways := 1
 	g.forwarder.UpdateBalancer(func(b *balancer.Balancer, _ *budgeter.RetryBudget) { gateways = len(b.Membership.Members()) })
 	perSecond := rereadShare * float64(g.settings.StoreReadsPerSecond)
 
-	return 1 + timekeeper.Millis(float64(gateways*rereadCalls)/perSecond*float64(timekeeper.Second))
+	return timekeeper.Millis(float64(gateways*calls) / perSecond * float64(timekeeper.Second))
 }
 
 // recordStoreResult records whether the store can be followed and logs when that changes.
