Balancer: a late answer makes no holder of the process that came after

Cause: the end of an answered attempt recorded its endpoint as a holder of the prompt. If another process had been listed under the ID meanwhile, the time of that record was after its start, so the new process, whose cache is empty, counted as a holder: sessions were kept there and others told to fetch from it. Ruled out: the emptying of records at a change of process, which is right for what was recorded before. Not covered: a change that this gateway has not yet seen in the list; the next choice sees it and empties by the start time. Change: the record is made only if the process that answered is the one listed last. Test: TestLateAnswersOfAnEarlierProcessMakeNoHolder, failed before.

--- a/fleet/balancer/placement.go
+++ b/fleet/balancer/placement.go
@@ -34,10 +34,13 @@
 }
 
 // RecordAttemptEnd corrects what the choice of an endpoint has recorded, once the attempt there has ended. An endpoint that has not begun to
-// answer has not processed the prompt: others must neither be sent there for it nor fetch it from there.
+// answer has not processed the prompt: others must neither be sent there for it nor fetch it from there. Nor has the process that has
+// started meanwhile under the ID of one that has answered.
 func (b *Balancer) RecordAttemptEnd(v *cataloguer.View, r Request, c Choice, hasBegun bool, now timekeeper.Millis) {
 	if hasBegun {
-		b.recordPlacement(v, r, c.Endpoint, now)
+		if b.state(c.Endpoint.ID).listed == c.Endpoint.Process() {
+			b.recordPlacement(v, r, c.Endpoint, now)
+		}
 
 		return
 	}
--- a/fleet/balancer/placement_test.go
+++ b/fleet/balancer/placement_test.go
@@ -90,4 +90,24 @@
 	}
 }
 
+// Guards against a request that outlasts the listing of its process: the one listed now under the ID has not read its prompt.
+func TestLateAnswersOfAnEarlierProcessMakeNoHolder(t *testing.T) {
+	v := newView(1, 1)
+	b := newTestBalancer()
+	r := sessionRequest()
+	late, _ := b.Choose(v, r, 0)
+	listed := late.Endpoint
+	earlier := *listed
+	late.Endpoint = &earlier
+	listed.StartedAt, listed.RunningSince = 50, 50
+	other := Request{Service: testService, Session: 99, SharedParts: []model.PromptPart{{ID: 99, Tokens: 100}}}
+	if _, refusal := b.Choose(v, other, 60); refusal != nil {
+		t.Fatal(refusal)
+	}
+	b.RecordAttemptEnd(v, r, late, true, 70)
+	if next, _ := b.Choose(v, r, 80); !next.NeedsPrefill {
+		t.Error("the new process is taken for a holder of what the earlier one has read")
+	}
+}
+
 func first[T any](value T, _ uint64) T { return value }
