Throttler: a request is overdue by its own target latency

Cause: the time after which requests under way count no more was that of whichever request ended last. Where routes of one service have different target latencies, the end of a request with a short one made those with a long one stop counting although they still use slots (the limit let more start), and the end of one with a long one let a silent endpoint keep the room of short ones for longer.

Ruled out: the largest target of all routes (a silent endpoint would keep the room of short ones); a map by target (two structures for one count).

Change: the list under way holds when each request becomes overdue, from its start and its own target. The queued request carries its target latency for that. With one target for all routes nothing changes.

--- a/fleet/queuer/request.go
+++ b/fleet/queuer/request.go
@@ -18,6 +18,8 @@
 	Priority         Priority
 	Deadline         timekeeper.Millis
 	ExpectedDuration timekeeper.Millis
+	// TargetLatency is the time within which the response is due; zero means that it has none.
+	TargetLatency timekeeper.Millis
 	// OnTimeUntil is the latest start with which the request can still meet its target latency; zero means that it has none.
 	OnTimeUntil timekeeper.Millis
 	// Cost is what the request counts towards the share of its account; zero counts as one.
--- a/fleet/throttler/throttler.go
+++ b/fleet/throttler/throttler.go
@@ -105,7 +105,7 @@
 
 // UnderWay returns the number of requests that have room.
 func (t *Throttler) UnderWay() int {
-	return len(t.underWay.starts)
+	return len(t.underWay.overdueAt)
 }
 
 // Waiting returns the number of requests that wait for room.
@@ -128,7 +128,7 @@
 	}
 	if !t.limit.isOn || t.queue.Len() == 0 && t.hasRoom(r.Priority, now) {
 		t.queue.Charge(&q)
-		t.start(r.Priority, now)
+		t.start(&q, now)
 
 		return Decision{Action: ActionRun}
 	}
@@ -141,7 +141,7 @@
 func (t *Throttler) waitingRequest(r *Request) queuer.Request {
 	q := queuer.Request{
 		Ticket: r.Ticket, Account: r.Account, Priority: r.Priority, Deadline: r.Deadline,
-		ExpectedDuration: t.limit.expectedTime(), QueuedAt: r.ArrivedAt,
+		ExpectedDuration: t.limit.expectedTime(), TargetLatency: r.TargetLatency, QueuedAt: r.ArrivedAt,
 	}
 	if r.TargetLatency > 0 {
 		q.OnTimeUntil = max(r.ArrivedAt+r.TargetLatency-q.ExpectedDuration, 1)
@@ -164,17 +164,17 @@
 }
 
 // start counts a request as under way.
-func (t *Throttler) start(p queuer.Priority, now timekeeper.Millis) {
+func (t *Throttler) start(r *queuer.Request, now timekeeper.Millis) {
 	t.limit.recordStart(t.underWay.count(now), now)
-	t.underWay.add(now)
+	t.underWay.add(now, r.TargetLatency)
 	t.freePlaces--
-	t.floor.recordStart(p, now)
+	t.floor.recordStart(r.Priority, now)
 }
 
-// Finish records that a request which had room since startedAt has ended. It took duration at the endpoint.
+// Finish records that a request which had room since startedAt has ended. It took duration at the endpoint; target is its
+// target latency.
 func (t *Throttler) Finish(o Outcome, startedAt, duration, target, now timekeeper.Millis) {
-	t.underWay.remove(startedAt)
-	t.underWay.overdueTime = target
+	t.underWay.remove(startedAt, target)
 	rate := t.demand.total(now)
 	switch o {
 	case OutcomeServed:
@@ -203,7 +203,7 @@
 		if !ok {
 			break
 		}
-		t.start(next.Priority, now)
+		t.start(&next, now)
 		c.Started = append(c.Started, next.Ticket)
 	}
 	for _, r := range append(t.evicted, t.expire(now)...) {
--- a/fleet/throttler/under_way.go
+++ b/fleet/throttler/under_way.go
@@ -1,36 +1,42 @@
 package throttler
 
 import (
+	"math"
 	"slices"
 
 	"cardamompulley/fleet/timekeeper"
 )
 
-// underWay holds the starts of the requests under way, in ascending order.
+// underWay holds the requests under way, as the times from which they are overdue, in ascending order. An overdue request does not count any
+// more: an endpoint that is silent must not take the room of others.
 type underWay struct {
-	starts []timekeeper.Millis
-	// overdueTime is the time after which a request does not count any more: an endpoint that is silent must not take the room of others.
-	// It is zero before the first answer.
-	overdueTime timekeeper.Millis
+	overdueAt []timekeeper.Millis
 }
 
-func (u *underWay) add(now timekeeper.Millis) {
-	i, _ := slices.BinarySearch(u.starts, now)
-	u.starts = slices.Insert(u.starts, i, now)
+// overdueAt returns the time from which a request is overdue: once it has been under way for its target latency, never if it has none.
+func overdueAt(startedAt, target timekeeper.Millis) timekeeper.Millis {
+	if target <= 0 {
+		return math.MaxInt64
+	}
+
+	return startedAt + target
 }
 
-func (u *underWay) remove(startedAt timekeeper.Millis) {
-	if i, ok := slices.BinarySearch(u.starts, startedAt); ok {
-		u.starts = slices.Delete(u.starts, i, i+1)
+func (u *underWay) add(startedAt, target timekeeper.Millis) {
+	at := overdueAt(startedAt, target)
+	i, _ := slices.BinarySearch(u.overdueAt, at)
+	u.overdueAt = slices.Insert(u.overdueAt, i, at)
+}
+
+func (u *underWay) remove(startedAt, target timekeeper.Millis) {
+	if i, ok := slices.BinarySearch(u.overdueAt, overdueAt(startedAt, target)); ok {
+		u.overdueAt = slices.Delete(u.overdueAt, i, i+1)
 	}
 }
 
 // count returns the number of requests under way that are not overdue.
 func (u *underWay) count(now timekeeper.Millis) int {
-	if u.overdueTime == 0 {
-		return len(u.starts)
-	}
-	overdue, _ := slices.BinarySearch(u.starts, now-u.overdueTime)
+	overdue, _ := slices.BinarySearch(u.overdueAt, now)
 
-	return len(u.starts) - overdue
+	return len(u.overdueAt) - overdue
 }
--- a/router/internal/forwarder/room_test.go
+++ b/router/internal/forwarder/room_test.go
@@ -42,7 +42,7 @@
 		return f, func() {}
 	}
 	now, r := f.clock.Now(), f.room("s")
-	if d, _, _ := r.arrive(throttler.Request{ArrivedAt: now}, f.capacity(view, "s", now), now); d.Action != throttler.ActionRun {
+	if d, _, _ := r.arrive(throttler.Request{ArrivedAt: now, TargetLatency: target}, f.capacity(view, "s", now), now); d.Action != throttler.ActionRun {
 		t.Fatalf("no room for one request: %s", d.Action)
 	}
 
