Retry budget: a repeat without room gives its retry back

Cause: a repeat draws on the retry budget right after the failed attempt, before it asks for room. If it is refused for lack of room, its retry has reached no endpoint and yet counts for the length of the window, in a shortage, when others need it most.

Ruled out: asking for room before drawing (a request would hold a place or wait in the queue for a retry that it may not get, and the answer of the failed attempt could not be given at once); giving back whenever a retry reaches no endpoint (would change services that are not throttled).

Change: the budget takes back a retry that was not made; the forwarder does so if the request is refused by the room.

Test: a repeat without room leaves exactly its one retry to others (failed before: none); a retry that has left the window cannot come back.

--- a/fleet/budgeter/retry.go
+++ b/fleet/budgeter/retry.go
@@ -89,3 +89,8 @@
 
 	return true
 }
+
+// GiveBack returns a retry that was taken at a time and has not been made.
+func (b *RetryBudget) GiveBack(id model.ServiceID, takenAt, now timekeeper.Millis) {
+	b.counts(id).retries.remove(takenAt, now)
+}
--- a/fleet/budgeter/retry_test.go
+++ b/fleet/budgeter/retry_test.go
@@ -94,3 +94,29 @@
 		t.Errorf("less urgent requests spent %d of a budget of two retries", spent)
 	}
 }
+
+// A retry that is not made counts for nothing, and one that has left the window cannot come back.
+func TestRetryThatIsNotMadeIsGivenBack(t *testing.T) {
+	const window = 10 * timekeeper.Second
+	b := NewRetryBudget(RetryLimits{Ratio: 0.25, Window: window})
+	take := func(want bool, now timekeeper.Millis) {
+		t.Helper()
+		if got := b.TrySpend("s", Draw{}, now); got != want {
+			t.Fatalf("retry at %d allowed: %v, want %v", now, got, want)
+		}
+	}
+	for range 5 {
+		b.RecordRequest("s", 1)
+	}
+	take(true, 1)
+	take(false, 2)
+	b.GiveBack("s", 1, window/2)
+	take(true, window/2)
+	take(false, window/2)
+	for range 5 {
+		b.RecordRequest("s", 2*window)
+	}
+	take(true, 2*window)
+	b.GiveBack("s", window/2, 2*window)
+	take(false, 2*window)
+}
--- a/fleet/budgeter/window.go
+++ b/fleet/budgeter/window.go
@@ -37,6 +37,16 @@
 	w.total++
 }
 
+// remove takes back an event that was added at a time, unless it has left the window.
+func (w *window) remove(at, now timekeeper.Millis) {
+	w.advance(now)
+	number := at / w.bucketLength
+	if number > w.newest-windowBuckets && w.counts[number%windowBuckets] > 0 {
+		w.counts[number%windowBuckets]--
+		w.total--
+	}
+}
+
 func (w *window) count(now timekeeper.Millis) int {
 	w.advance(now)
 
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -64,7 +64,7 @@
 		return p.skipEndpoint(conn)
 	}
 	p.endpointsReached++
-	p.hasReached = true
+	p.hasReached, p.retryTakenAt = true, 0
 	sentAt := p.forwarder.clock.Now()
 	response, err := conn.Send(p.endpointRequest())
 	if err != nil {
--- a/router/internal/forwarder/forwarder.go
+++ b/router/internal/forwarder/forwarder.go
@@ -199,13 +199,24 @@
 	f.retryBudget.RecordRequest(id, f.clock.Now())
 }
 
-// trySpendRetry takes a retry from the budget of a service, or returns false if the budget is exhausted or what is left of it is for
-// more urgent requests.
-func (f *Forwarder) trySpendRetry(id model.ServiceID, d budgeter.Draw) bool {
+// trySpendRetry takes a retry from the budget of a service and returns the time of that, or zero if the budget is exhausted or what is
+// left of it is for more urgent requests.
+func (f *Forwarder) trySpendRetry(id model.ServiceID, d budgeter.Draw) (takenAt timekeeper.Millis) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	d.Gateways = len(f.balancer.Membership.SettledMembers(now))
 
-	return f.retryBudget.TrySpend(id, d, now)
+	if !f.retryBudget.TrySpend(id, d, now) {
+		return 0
+	}
+
+	return now
+}
+
+// giveBackRetry returns a retry that was taken at a time to the budget of a service.
+func (f *Forwarder) giveBackRetry(id model.ServiceID, takenAt timekeeper.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retryBudget.GiveBack(id, takenAt, f.clock.Now())
 }
--- a/router/internal/forwarder/priority.go
+++ b/router/internal/forwarder/priority.go
@@ -63,7 +63,18 @@
 		d.Priority, d.MostUrgent = prioritizer.Of(p.route, p.account), p.scale().MostUrgent()
 	}
 
-	return p.forwarder.trySpendRetry(p.service, d)
+	p.retryTakenAt = p.forwarder.trySpendRetry(p.service, d)
+
+	return p.retryTakenAt > 0
+}
+
+// giveBackRetry returns a retry to the budget that was taken for an attempt that is not made.
+func (p *proxiedRequest) giveBackRetry() {
+	if p.retryTakenAt == 0 {
+		return
+	}
+	p.forwarder.giveBackRetry(p.service, p.retryTakenAt)
+	p.retryTakenAt = 0
 }
 
 // enginePriority returns the priority to send to the endpoint, negative for none.
--- a/router/internal/forwarder/request.go
+++ b/router/internal/forwarder/request.go
@@ -83,6 +83,8 @@
 	suspects []quarantiner.Suspect
 	priority priorityState
 	roomUse  roomUse
+	// retryTakenAt is when a retry was taken from the budget that has not reached an endpoint yet, zero if there is none.
+	retryTakenAt timekeeper.Millis
 }
 
 func newProxiedRequest(f *Forwarder, w http.ResponseWriter, r *http.Request) *proxiedRequest {
@@ -120,6 +122,8 @@
 func (p *proxiedRequest) chooseEndpoint() *model.Refusal {
 	p.view = p.forwarder.CurrentView()
 	if refusal := p.enterRoom(); refusal != nil {
+		p.giveBackRetry()
+
 		return refusal
 	}
 	p.view = p.forwarder.CurrentView()
--- a/router/internal/forwarder/room_test.go
+++ b/router/internal/forwarder/room_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/queuer"
@@ -162,3 +163,35 @@
 	leave()
 	checkEmpty(t, f)
 }
+
+// A repeat that is refused for lack of room reaches no endpoint, so others may have its part of the retry budget.
+func TestRepeatWithoutRoomGivesItsRetryBack(t *testing.T) {
+	f, leave := newShortForwarder(t, 60, true)
+	defer leave()
+	now, r := f.clock.Now(), f.room("s")
+	for range 40 {
+		r.arrive(throttler.Request{ArrivedAt: now, TargetLatency: 60, Deadline: now + 1}, f.capacity(f.CurrentView(), "s", now), now)
+		f.recordRequest("s")
+	}
+	request := httptest.NewRequest(http.MethodGet, "http://a/", nil)
+	request.Header.Set("Cardamompulley-Attempt-Id", "c")
+	p := newProxiedRequest(f, httptest.NewRecorder(), request)
+	if refusal := p.prepare(); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if !p.trySpendRetry() {
+		t.Fatal("no retry in the budget")
+	}
+	takeOther := func() bool { return f.trySpendRetry("s", budgeter.Draw{}) > 0 }
+	for takeOther() {
+	}
+	if refusal := p.chooseEndpoint(); refusal == nil || refusal.Code != model.CodeOverloaded {
+		t.Fatalf("refusal %v, want one for lack of room", refusal)
+	}
+	if !takeOther() {
+		t.Error("the retry that was not made is missing in the budget")
+	}
+	if takeOther() {
+		t.Error("more retries than the one that was not made")
+	}
+}
