Rooms: kept up to date without arrivals, and forgotten with their service

Cause: a room takes in what is known of its service only when a request arrives. After the last arrival of a surge it kept the capacity of that moment, so that a shortage with full endpoints went on in metrics and log until the next request. Rooms of services that have left the configuration stayed for the life of the process.

Ruled out: a goroutine a room; forgetting rooms when a view changes (requests may still be in them).

Change: the gateway's maintenance brings each room up to date, and forgets that of a service that has gone once it is empty. A request that holds such a room already ends there; the lock of the forwarder and that of a room are never held together.

--- a/router/internal/forwarder/room.go
+++ b/router/internal/forwarder/room.go
@@ -74,6 +74,21 @@
 	return d, request.Ticket, granted
 }
 
+// update takes in what the gateway knows of the service and gives room to waiting requests.
+func (r *room) update(c throttler.Capacity, now timekeeper.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.throttler.Observe(c, now)
+	r.grantRoom(now)
+}
+
+// isEmpty reports whether no request has room or waits for it.
+func (r *room) isEmpty() bool {
+	s := r.state()
+
+	return s.UnderWay == 0 && s.Waiting == 0
+}
+
 // finish records that a request which had room has ended, and gives its room to others.
 func (r *room) finish(o throttler.Outcome, startedAt, duration, target, now timekeeper.Millis) {
 	r.mu.Lock()
--- a/router/internal/forwarder/room_test.go
+++ b/router/internal/forwarder/room_test.go
@@ -195,3 +195,27 @@
 		t.Error("more retries than the one that was not made")
 	}
 }
+
+// A shortage ends also if nothing arrives any more, and the room of a service that has left the configuration goes once it is empty.
+func TestRoomsAreMaintainedWithoutArrivals(t *testing.T) {
+	f, leave := newShortForwarder(t, 60, true)
+	now, r := f.clock.Now(), f.room("s")
+	busy := throttler.Capacity{Endpoints: 1, Slots: 1, Taken: 1, Gateways: 1}
+	r.arrive(throttler.Request{ArrivedAt: now, TargetLatency: 60, Deadline: now + 1}, busy, now)
+	f.clock.Now = func() timekeeper.Millis { return now + timekeeper.Second }
+	f.MaintainRooms()
+	if s := f.RoomStates()[0]; s.Limit != 0 {
+		t.Errorf("limit %.2f a second after the last arrival, although the endpoints are not busy any more", s.Limit)
+	}
+	empty := cataloguer.NewView(cataloguer.NewConfiguration(3, cataloguer.Limits{}, nil, nil, nil, false), nil, nil, now)
+	f.CurrentView = func() *cataloguer.View { return empty }
+	f.MaintainRooms()
+	if n := len(f.RoomStates()); n != 1 {
+		t.Errorf("%d rooms while a request is under way, want 1", n)
+	}
+	leave()
+	f.MaintainRooms()
+	if n := len(f.RoomStates()); n != 0 {
+		t.Errorf("%d rooms after the last request of a service that has gone, want none", n)
+	}
+}
--- a/router/internal/forwarder/throttle.go
+++ b/router/internal/forwarder/throttle.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -187,6 +188,34 @@
 	return r
 }
 
+// MaintainRooms brings the rooms up to date, also those at which nothing arrives, and forgets those of services that have left the
+// configuration once they are empty.
+func (f *Forwarder) MaintainRooms() {
+	v, now := f.CurrentView(), f.clock.Now()
+	for _, r := range f.allRooms() {
+		if _, ok := v.Configuration.Services[r.service]; !ok && r.isEmpty() {
+			f.forgetRoom(r.service)
+
+			continue
+		}
+		r.update(f.capacity(v, r.service, now), now)
+	}
+}
+
+// forgetRoom forgets the room of a service. A request that has it already ends there.
+func (f *Forwarder) forgetRoom(id model.ServiceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.rooms, id)
+}
+
+func (f *Forwarder) allRooms() []*room {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return slices.Collect(maps.Values(f.rooms))
+}
+
 // capacity returns what the gateway knows of the capacity of a service.
 func (f *Forwarder) capacity(v *cataloguer.View, id model.ServiceID, now timekeeper.Millis) throttler.Capacity {
 	f.mu.Lock()
@@ -200,12 +229,7 @@
 
 // RoomStates returns the rooms of all services, in the order of their IDs.
 func (f *Forwarder) RoomStates() []RoomState {
-	f.mu.Lock()
-	rooms := make([]*room, 0, len(f.rooms))
-	for _, r := range f.rooms {
-		rooms = append(rooms, r)
-	}
-	f.mu.Unlock()
+	rooms := f.allRooms()
 	states := make([]RoomState, 0, len(rooms))
 	for _, r := range rooms {
 		states = append(states, r.state())
--- a/router/internal/gateway/gateway.go
+++ b/router/internal/gateway/gateway.go
@@ -190,6 +190,7 @@
 		g.peers.removeStale()
 		g.forwarder.ExpireLosses()
 		g.forwarder.ExpirePriorities()
+		g.forwarder.MaintainRooms()
 		g.forwarder.ExpireOrigins()
 		g.peers.originSender.wake()
 		g.pool.Prune(isListed)
