Queuer: a request in calm times costs the same whatever the number of accounts

Cause: a queue that keeps shares looked through all accounts that are ahead at each request that starts without waiting. With accounts that take turns that is nearly all of them, also in calm times and while the room is locked.

Ruled out: forgetting by time (a share is kept until the others have caught up, whenever that is).

Change: the queue looks through them only when the virtual time has risen; an account that is not ahead is not kept at all. What starts next is unchanged: entries up to the virtual time say the same as none.

--- a/fleet/queuer/queue.go
+++ b/fleet/queuer/queue.go
@@ -21,8 +21,9 @@
 	// virtualTime is the served cost from which an account starts when it joins the queue, so that an idle account
 	// gains no credit.
 	virtualTime float64
-	// ahead holds what accounts without waiting requests have been served, if that is more than the virtual time.
-	ahead map[model.AccountID]float64
+	// ahead holds what accounts without waiting requests have been served, if that is more than the virtual time was at sweptAt.
+	ahead   map[model.AccountID]float64
+	sweptAt float64
 }
 
 // accountQueue holds the waiting requests of one account.
@@ -240,8 +241,15 @@
 	if !q.KeepsShares {
 		return
 	}
-	q.ahead[account] = served
-	maps.DeleteFunc(q.ahead, func(_ model.AccountID, served float64) bool { return served <= q.virtualTime })
+	if served > q.virtualTime {
+		q.ahead[account] = served
+	} else {
+		delete(q.ahead, account)
+	}
+	if q.virtualTime > q.sweptAt {
+		q.sweptAt = q.virtualTime
+		maps.DeleteFunc(q.ahead, func(_ model.AccountID, served float64) bool { return served <= q.virtualTime })
+	}
 }
 
 // RemoveIf removes and returns the waiting requests that match.
