Throttler: a fraction of the limit that only rounding has left lets nothing start

Cause: the time of the next paced start is the time at the endpoints over the fraction of the limit. With the least fraction that a number above one can have it exceeds an integer; converted, it lies in the past, so that one request more than the limit could start at any time, and processors differ in it.

Change: a fraction below one in ten thousand lets nothing start. The time of the next start is also computed once for the queue, no longer once for each waiting request.

--- a/fleet/throttler/limit.go
+++ b/fleet/throttler/limit.go
@@ -41,6 +41,8 @@
 	savedPaces = 1
 	// minLimit bounds the limit from below: one request in a hundred times at the endpoints.
 	minLimit = 0.01
+	// minFraction is the fraction of a limit below which it lets no request start: one in more than ten thousand times at the endpoints.
+	minFraction = 1e-4
 	// defaultTime is the expected time at the endpoints before the first answer.
 	defaultTime = 50 * timekeeper.Millis(1)
 )
@@ -108,7 +110,7 @@
 // nextPaced returns when the fraction of the limit next lets a request start.
 func (l *limit) nextPaced() timekeeper.Millis {
 	fraction := l.value - math.Floor(l.value)
-	if fraction == 0 {
+	if fraction < minFraction {
 		return math.MaxInt64
 	}
 
--- a/fleet/throttler/throttler.go
+++ b/fleet/throttler/throttler.go
@@ -236,11 +236,12 @@
 			due = at
 		}
 	}
-	t.queue.All(func(r *queuer.Request) {
-		consider(now + maxUnattended)
-		consider(r.OnTimeUntil + 1)
-		consider(t.limit.nextStart(t.underWay.count(now), now))
-	})
+	if t.queue.Len() == 0 {
+		return 0
+	}
+	consider(now + maxUnattended)
+	consider(t.limit.nextStart(t.underWay.count(now), now))
+	t.queue.All(func(r *queuer.Request) { consider(r.OnTimeUntil + 1) })
 
 	return due
 }
