--- a/fleet/prioritizer/priority.go
+++ b/fleet/prioritizer/priority.go
@@ -1,9 +1,12 @@
 package prioritizer
 
-import "cardamompulley/fleet/cataloguer"
+import (
+	"cardamompulley/fleet/cataloguer"
+	"cardamompulley/fleet/queuer"
+)
 
 // Priority is the urgency of a request; 0 is the most urgent.
-type Priority int
+type Priority = queuer.Priority
 
 const (
 	// MostUrgent is the most urgent priority. Smaller numbers in a configuration mean the same.
--- a/fleet/throttler/floor.go
+++ b/fleet/throttler/floor.go
@@ -14,25 +14,25 @@
 
 // floor keeps the less urgent requests from being starved.
 type floor struct {
-	byPriority map[queuer.Priority]*service
+	byPriority map[queuer.Priority]*flow
 	// startsSince counts the starts since the last one for the floor.
 	startsSince int
 }
 
-// service is how often requests of a priority arrive and start.
-type service struct {
+// flow is how often requests of a priority arrive and start.
+type flow struct {
 	arrivals rate
 	starts   rate
 }
 
 func newFloor() floor {
-	return floor{byPriority: map[queuer.Priority]*service{}, startsSince: floorInterval}
+	return floor{byPriority: map[queuer.Priority]*flow{}, startsSince: floorInterval}
 }
 
-func (f *floor) of(p queuer.Priority) *service {
+func (f *floor) of(p queuer.Priority) *flow {
 	s, ok := f.byPriority[p]
 	if !ok {
-		s = &service{}
+		s = &flow{}
 		f.byPriority[p] = s
 	}
 
--- a/fleet/throttler/play_test.go
+++ b/fleet/throttler/play_test.go
@@ -47,14 +47,14 @@
 	measureFrom timekeeper.Millis
 	at          map[timekeeper.Millis]func(*play)
 
-	random      *rand.Rand
-	now         timekeeper.Millis
-	gates       []*fakeGateway
-	servers     []*fakeEndpoint
-	returns     map[timekeeper.Millis][]*fakeRequest
-	tickets     queuer.Ticket
-	totalWeight float64
-	got         figures
+	random        *rand.Rand
+	now           timekeeper.Millis
+	gates         []*fakeGateway
+	fakeEndpoints []*fakeEndpoint
+	returns       map[timekeeper.Millis][]*fakeRequest
+	tickets       queuer.Ticket
+	totalWeight   float64
+	got           figures
 }
 
 // count is what callers of a kind got for the calls in the surge.
@@ -84,7 +84,7 @@
 		s.gates = append(s.gates, g)
 	}
 	for range s.endpoints {
-		s.servers = append(s.servers, newFakeEndpoint(s.queueLength, s.random))
+		s.fakeEndpoints = append(s.fakeEndpoints, newFakeEndpoint(s.queueLength, s.random))
 	}
 	for s.now = 1; s.now < playEnd; s.now++ {
 		if change := s.at[s.now]; change != nil {
@@ -99,12 +99,12 @@
 func (s *play) step() {
 	for i, g := range s.gates {
 		if (int(s.now)+i*reportInterval/s.gateways)%reportInterval == 0 {
-			for j, e := range s.servers {
+			for j, e := range s.fakeEndpoints {
 				g.others[j] = e.load() - g.own[j]
 			}
 		}
 	}
-	for _, e := range s.servers {
+	for _, e := range s.fakeEndpoints {
 		for _, r := range e.finish(s.now) {
 			s.recordServed(r)
 			s.leave(r, OutcomeServed)
@@ -126,8 +126,8 @@
 }
 
 func (s *play) capacity(g *fakeGateway) Capacity {
-	c := Capacity{Gateways: s.gateways, Endpoints: len(s.servers)}
-	for i, e := range s.servers {
+	c := Capacity{Gateways: s.gateways, Endpoints: len(s.fakeEndpoints)}
+	for i, e := range s.fakeEndpoints {
 		if !e.isLost {
 			c.Slots += e.slots
 			load := g.others[i] + g.own[i]
@@ -181,14 +181,14 @@
 // send sends a request to the endpoint for which the lowest load is known.
 func (s *play) send(r *fakeRequest) {
 	g, best := r.gateway, -1
-	for _, i := range s.random.Perm(len(s.servers)) {
-		if !s.servers[i].isLost && (best < 0 || g.others[i]+g.own[i] < g.others[best]+g.own[best]) {
+	for _, i := range s.random.Perm(len(s.fakeEndpoints)) {
+		if !s.fakeEndpoints[i].isLost && (best < 0 || g.others[i]+g.own[i] < g.others[best]+g.own[best]) {
 			best = i
 		}
 	}
 	r.endpoint, r.sentAt = best, s.now
 	g.own[best]++
-	isTaken := s.servers[best].arrive(r, s.now)
+	isTaken := s.fakeEndpoints[best].arrive(r, s.now)
 	if s.isSurge(s.now) {
 		s.got.arrivals++
 	}
--- a/fleet/throttler/surge_test.go
+++ b/fleet/throttler/surge_test.go
@@ -66,7 +66,7 @@
 		t.Run(fmt.Sprintf("%d gateways", gateways), func(t *testing.T) {
 			s := play{gateways: gateways, endpoints: 4, queueLength: 24, callsPerSecond: 65, multiple: 6, measureFrom: lossAt + timekeeper.Second}
 			s.at = map[timekeeper.Millis]func(*play){lossAt: func(s *play) {
-				for _, e := range s.servers[:2] {
+				for _, e := range s.fakeEndpoints[:2] {
 					for _, r := range e.lose() {
 						s.leave(r, OutcomeUnknown)
 					}
@@ -81,7 +81,7 @@
 func playSlowEndpoint(gateways int, slowdown float64) figures {
 	const slowAt = 5 * timekeeper.Second
 	s := play{gateways: gateways, endpoints: 3, queueLength: 24, callsPerSecond: 65, multiple: 6, measureFrom: slowAt + timekeeper.Second}
-	s.at = map[timekeeper.Millis]func(*play){slowAt: func(s *play) { s.servers[0].slowdown = slowdown }}
+	s.at = map[timekeeper.Millis]func(*play){slowAt: func(s *play) { s.fakeEndpoints[0].slowdown = slowdown }}
 
 	return s.run(1)
 }
--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -276,35 +276,3 @@
 
 	return nil
 }
-
-// respondUnserved ends a request that no endpoint has served. It relays the error response of the last attempt, or refuses
-// the request if there is none or its status wrongly implies that the request has not run. A stream that has started is
-// aborted.
-func (p *proxiedRequest) respondUnserved(lastFailure *dispatcher.Failure, refusal *model.Refusal) {
-	if p.request.Context().Err() != nil {
-		p.abortDisconnected()
-	}
-	if p.stream.hasStarted {
-		p.abortResponse(lastFailure.Err)
-	}
-	if p.errorResponse != nil && !impliesNotRun(p.errorResponse.status) {
-		p.relayBuffered(p.errorResponse)
-
-		return
-	}
-	if p.timeLeft() <= 0 {
-		refusal.Code = model.CodeDeadlineTooShort
-	}
-	p.refuse(refusal)
-}
-
-// impliesNotRun reports whether callers take a status to mean that the request has not run. An endpoint that has not run a
-// request states it in its headers as well; without them, such a status is not relayed.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
--- a/router/internal/forwarder/throttle.go
+++ b/router/internal/forwarder/throttle.go
@@ -65,7 +65,7 @@
 func (p *proxiedRequest) roomRequest() throttler.Request {
 	return throttler.Request{
 		Account:       p.account.ID,
-		Priority:      queuer.Priority(prioritizer.Of(p.route, p.account)),
+		Priority:      prioritizer.Of(p.route, p.account),
 		ArrivedAt:     p.arrivedAt,
 		TargetLatency: p.route.TargetLatency,
 		Deadline:      p.deadline,
