Rooms: the end of a shortage logs the requests refused in it

Cause: service-has-room named all refusals since the start of the process, which reads as those of the shortage that ends.

Change: the count at the begin of the logged shortage is subtracted. The metric stays a total.

Test: two shortages with 3 and 5 refusals; before the change the second end said 8.

--- a/router/internal/forwarder/room.go
+++ b/router/internal/forwarder/room.go
@@ -41,8 +41,10 @@
 	// isShort is true while there is a limit. isShortLogged is true if that has been logged, at shortLoggedAt.
 	isShort, isShortLogged bool
 	shortLoggedAt          timekeeper.Millis
-	waited, refused        int
-	waitedTime             timekeeper.Millis
+	// refusedBefore is how many had been refused at shortLoggedAt.
+	refusedBefore   int
+	waited, refused int
+	waitedTime      timekeeper.Millis
 }
 
 func newRoom(id model.ServiceID, log logger.Logger) *room {
@@ -154,12 +156,12 @@
 	r.isShort = isShort
 	switch {
 	case isShort && (r.shortLoggedAt == 0 || now-r.shortLoggedAt >= shortageLogInterval):
-		r.isShortLogged, r.shortLoggedAt = true, now
+		r.isShortLogged, r.shortLoggedAt, r.refusedBefore = true, now, r.refused
 		r.log.Write(logger.EventServiceFull, logger.String("service", r.service),
 			logger.Int("room-limit-percent", int(100*r.throttler.Limit())), logger.Int("room-under-way", r.throttler.UnderWay()))
 	case !isShort && r.isShortLogged:
 		r.isShortLogged = false
-		r.log.Write(logger.EventServiceHasRoom, logger.String("service", r.service), logger.Int("refused", r.refused))
+		r.log.Write(logger.EventServiceHasRoom, logger.String("service", r.service), logger.Int("refused", r.refused-r.refusedBefore))
 	}
 }
 
