Prioritizer: an account without usual tokens is not kept

Cause: an account of which nothing counted as usual in a calm part was kept with zero tokens. It took one of the bounded places, and if no other account was kept the growth of the traffic had no divisor (+Inf).

Change: a new account is kept from the least tokens on below which one is forgotten.

Test: such an account alone; before the change it was kept and the growth was +Inf.

--- a/fleet/prioritizer/usual_tokens.go
+++ b/fleet/prioritizer/usual_tokens.go
@@ -44,7 +44,7 @@
 		}
 	}
 	for id, tokens := range added {
-		if _, ok := u.accounts[id]; ok || len(u.accounts) < maxAccounts {
+		if _, ok := u.accounts[id]; ok || tokens >= minUsualTokens && len(u.accounts) < maxAccounts {
 			u.accounts[id] += tokens
 		}
 	}
