--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -39,7 +39,7 @@
 		return p.skipEndpoint(conn)
 	}
 	p.endpointsReached++
-	p.hasReached = true
+	p.hasReached, p.retryTakenAt = true, 0
 	sentAt := p.forwarder.clock.Now()
 	response, err := conn.Send(p.endpointRequest())
 	if err != nil {
@@ -125,24 +125,3 @@
 
 	return p.newFailure(fmt.Errorf("%w: status %d", errNotRun, response.StatusCode), retrier.AttemptFailure{ReachedEndpoint: true})
 }
-
-// respondUnserved ends a request that no endpoint has served. It relays the error response of the last attempt, or refuses
-// the request if there is none or its status wrongly implies that the request has not run. A stream that has started is
-// aborted.
-func (p *proxiedRequest) respondUnserved(lastFailure *dispatcher.Failure, refusal *model.Refusal) {
-	if p.request.Context().Err() != nil {
-		p.abortDisconnected()
-	}
-	if p.stream.hasStarted {
-		p.abortResponse(lastFailure.Err)
-	}
-	if p.errorResponse != nil && !impliesNotRun(p.errorResponse.status) {
-		p.relayBuffered(p.errorResponse)
-
-		return
-	}
-	if p.timeLeft() <= 0 {
-		refusal.Code = model.CodeDeadlineTooShort
-	}
-	p.refuse(refusal)
-}
--- a/router/internal/forwarder/relay.go
+++ b/router/internal/forwarder/relay.go
@@ -159,14 +159,3 @@
 
 	return nil
 }
-
-// impliesNotRun reports whether callers take a status to mean that the request has not run. An endpoint that has not run a
-// request states it in its headers as well; without them, such a status is not relayed.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
--- a/router/internal/forwarder/room.go
+++ b/router/internal/forwarder/room.go
@@ -41,8 +41,10 @@
 	// isShort is true while there is a limit. isShortLogged is true if that has been logged, at shortLoggedAt.
 	isShort, isShortLogged bool
 	shortLoggedAt          timekeeper.Millis
-	waited, refused        int
-	waitedTime             timekeeper.Millis
+	// refusedBefore is how many had been refused at shortLoggedAt.
+	refusedBefore   int
+	waited, refused int
+	waitedTime      timekeeper.Millis
 }
 
 func newRoom(id model.ServiceID, log logger.Logger) *room {
@@ -74,6 +76,21 @@
 	return d, request.Ticket, granted
 }
 
+// update takes in what the gateway knows of the service and gives room to waiting requests.
+func (r *room) update(c throttler.Capacity, now timekeeper.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.throttler.Observe(c, now)
+	r.grantRoom(now)
+}
+
+// isEmpty reports whether no request has room or waits for it.
+func (r *room) isEmpty() bool {
+	s := r.state()
+
+	return s.UnderWay == 0 && s.Waiting == 0
+}
+
 // finish records that a request which had room has ended, and gives its room to others.
 func (r *room) finish(o throttler.Outcome, startedAt, duration, target, now timekeeper.Millis) {
 	r.mu.Lock()
@@ -139,12 +156,12 @@
 	r.isShort = isShort
 	switch {
 	case isShort && (r.shortLoggedAt == 0 || now-r.shortLoggedAt >= shortageLogInterval):
-		r.isShortLogged, r.shortLoggedAt = true, now
+		r.isShortLogged, r.shortLoggedAt, r.refusedBefore = true, now, r.refused
 		r.log.Write(logger.EventServiceFull, logger.String("service", r.service),
 			logger.Int("room-limit-percent", int(100*r.throttler.Limit())), logger.Int("room-under-way", r.throttler.UnderWay()))
 	case !isShort && r.isShortLogged:
 		r.isShortLogged = false
-		r.log.Write(logger.EventServiceHasRoom, logger.String("service", r.service), logger.Int("refused", r.refused))
+		r.log.Write(logger.EventServiceHasRoom, logger.String("service", r.service), logger.Int("refused", r.refused-r.refusedBefore))
 	}
 }
 
--- a/router/internal/forwarder/room_test.go
+++ b/router/internal/forwarder/room_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"cardamompulley/fleet/budgeter"
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/queuer"
@@ -42,7 +43,7 @@
 		return f, func() {}
 	}
 	now, r := f.clock.Now(), f.room("s")
-	if d, _, _ := r.arrive(throttler.Request{ArrivedAt: now}, f.capacity(view, "s", now), now); d.Action != throttler.ActionRun {
+	if d, _, _ := r.arrive(throttler.Request{ArrivedAt: now, TargetLatency: target}, f.capacity(view, "s", now), now); d.Action != throttler.ActionRun {
 		t.Fatalf("no room for one request: %s", d.Action)
 	}
 
@@ -162,3 +163,59 @@
 	leave()
 	checkEmpty(t, f)
 }
+
+// A repeat that is refused for lack of room reaches no endpoint, so others may have its part of the retry budget.
+func TestRepeatWithoutRoomGivesItsRetryBack(t *testing.T) {
+	f, leave := newShortForwarder(t, 60, true)
+	defer leave()
+	now, r := f.clock.Now(), f.room("s")
+	for range 40 {
+		r.arrive(throttler.Request{ArrivedAt: now, TargetLatency: 60, Deadline: now + 1}, f.capacity(f.CurrentView(), "s", now), now)
+		f.recordRequest("s")
+	}
+	request := httptest.NewRequest(http.MethodGet, "http://a/", nil)
+	request.Header.Set("Cardamompulley-Attempt-Id", "c")
+	p := newProxiedRequest(f, httptest.NewRecorder(), request)
+	if refusal := p.prepare(); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if !p.trySpendRetry() {
+		t.Fatal("no retry in the budget")
+	}
+	takeOther := func() bool { return f.trySpendRetry("s", budgeter.Draw{}) > 0 }
+	for takeOther() {
+	}
+	if refusal := p.chooseEndpoint(); refusal == nil || refusal.Code != model.CodeOverloaded {
+		t.Fatalf("refusal %v, want one for lack of room", refusal)
+	}
+	if !takeOther() {
+		t.Error("the retry that was not made is missing in the budget")
+	}
+	if takeOther() {
+		t.Error("more retries than the one that was not made")
+	}
+}
+
+// A shortage ends also if nothing arrives any more, and the room of a service that has left the configuration goes once it is empty.
+func TestRoomsAreMaintainedWithoutArrivals(t *testing.T) {
+	f, leave := newShortForwarder(t, 60, true)
+	now, r := f.clock.Now(), f.room("s")
+	busy := throttler.Capacity{Endpoints: 1, Slots: 1, Taken: 1, Gateways: 1}
+	r.arrive(throttler.Request{ArrivedAt: now, TargetLatency: 60, Deadline: now + 1}, busy, now)
+	f.clock.Now = func() timekeeper.Millis { return now + timekeeper.Second }
+	f.MaintainRooms()
+	if s := f.RoomStates()[0]; s.Limit != 0 {
+		t.Errorf("limit %.2f a second after the last arrival, although the endpoints are not busy any more", s.Limit)
+	}
+	empty := cataloguer.NewView(cataloguer.NewConfiguration(3, cataloguer.Limits{}, nil, nil, nil, false), nil, nil, now)
+	f.CurrentView = func() *cataloguer.View { return empty }
+	f.MaintainRooms()
+	if n := len(f.RoomStates()); n != 1 {
+		t.Errorf("%d rooms while a request is under way, want 1", n)
+	}
+	leave()
+	f.MaintainRooms()
+	if n := len(f.RoomStates()); n != 0 {
+		t.Errorf("%d rooms after the last request of a service that has gone, want none", n)
+	}
+}
