Command `config check`: a configuration is checked and compared before it is sent

Cause: a platform configuration that can be decoded is in force as it is.

Ruled out: a JSON schema (a second description of the format, and blind to shadowed routes), a textual diff (shows API keys, counts order and spaces), refusal by gateways (they serve on with what the platform has accepted), reading the version in force from the store (the command would need a way in).

No code of gateways changes.

No existing test changed.

--- a/cardamompulley/internal/cli/config.go
+++ b/cardamompulley/internal/cli/config.go
@@ -12,18 +12,22 @@
 	"cardamompulley/fleet/model"
 )
 
-// configCommand validates a complete configuration document offline.
+// configCommand validates a complete configuration document offline: the fleet's own (lint) or the platform's (check).
 type configCommand struct {
 	console
+	against string
 }
 
 func (*configCommand) Name() string     { return "config" }
 func (*configCommand) Synopsis() string { return "validate a configuration document" }
-func (*configCommand) Usage() string    { return "config [--output text|json] lint FILE\n" }
+func (*configCommand) Usage() string {
+	return "config [--output text|json] lint FILE\nconfig [--output text|json] check FILE [--against FILE]\n"
+}
 
 // SetFlags adds the flags of the command.
 func (c *configCommand) SetFlags(f *flag.FlagSet) {
 	c.addOutputFlag(f)
+	f.StringVar(&c.against, "against", "", "configuration in force, for check")
 }
 
 type lintResult struct {
@@ -33,9 +37,12 @@
 	Accounts  int    `json:"accounts"`
 }
 
-// Execute validates one file and prints a summary of it.
+// Execute validates one file and prints a summary of it or what was found.
 func (c *configCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() != 2 || f.Arg(0) != "lint" {
+	if f.NArg() >= 2 && f.Arg(0) == "check" {
+		return c.check(f)
+	}
+	if f.NArg() != 2 || c.against != "" || f.Arg(0) != "lint" {
 		return c.fail(fmt.Errorf("%w: %s", errUsage, c.Usage()))
 	}
 	raw, err := os.ReadFile(f.Arg(1))
