--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,13 @@
+package main
+
+// cases holds the cases by name.
+var cases map[string]func()
+
+func init() {
+	cases = map[string]func(){
+		"cold-server":         cold,
+		"unframed-transcript": unframedTranscript,
+		"unframed-edit":       unframedEdit,
+		"unframed-sign-off":   unframedSignOff,
+	}
+}
