--- a/review/6/run.sh
+++ b/review/10/run.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# A server leaves as planned while it answers resumable streams that have no length.
+# A server that is cut off from the store crashes and starts again, cold, under its ID.
 # Needs the build of the deploy file and review/build-2.sh. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x target/router ] || [ ! -x target/review-2/standin ]; then
 	echo "build first: the build line of deploy/system.toml, then review/build-2.sh" >&2
 	exit 2
 fi
-exec target/review-2/standin unframed-edit review/6/record.txt
+exec target/review-2/standin cold-server review/10/record.txt
