--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -194,12 +195,27 @@
 	}
 }
 
-// listen opens a listener or ends the process.
+// Listeners take ports below the range that systems use for outgoing connections, so that none is taken while a process is down.
+const (
+	firstPort = 20000
+	ports     = 12000
+)
+
+// listen opens a listener, at a free port if the address names port 0, or ends the process.
 func listen(address string) net.Listener {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		cannotRun("listen on %s: %v", address, err)
+	ip, port, err := net.SplitHostPort(address)
+	if err == nil && port != "0" {
+		var l net.Listener
+		if l, err = net.Listen("tcp", address); err == nil {
+			return l
+		}
+	}
+	for tries := 0; err == nil && tries < ports; tries++ {
+		if l, listenErr := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.IntN(ports)))); listenErr == nil {
+			return l
+		}
 	}
+	cannotRun("listen on %s: %v", address, err)
 
-	return l
+	return nil
 }
