review: stand-ins take ports from a block of their own

Cause: ports of gateways were tried, closed and opened again by the gateways; another listener, also of a second run beside it, could take one in between.

--- a/review/standin-2/child_test.go
+++ b/review/standin-2/child_test.go
@@ -65,7 +65,7 @@
 
 // serveChild is the process of a server. Its answers have no length: they end with their connections.
 func serveChild(id string) {
-	s := &server{id: id, addr: "127.0.0.1:0"}
+	s := &server{id: id, addr: anyPort}
 	s.serve = func(x *exchange) {
 		fmt.Printf("runs %s\n", x.id)
 		if strings.HasPrefix(x.request.URL.Path, "/sign-off/") {
--- a/review/standin-2/gateway_test.go
+++ b/review/standin-2/gateway_test.go
@@ -25,7 +25,7 @@
 
 // freeAddress returns a loopback address whose port is free now.
 func freeAddress() string {
-	l := listen("127.0.0.1:0")
+	l := listen(anyPort)
 	defer l.Close()
 
 	return l.Addr().String()
--- a/review/standin-2/server_test.go
+++ b/review/standin-2/server_test.go
@@ -47,7 +47,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.addr == "" {
-		s.addr = "127.0.0.1:0"
+		s.addr = anyPort
 	}
 	s.listener = listen(s.addr)
 	s.addr = s.listener.Addr().String()
--- a/review/standin-2/store_test.go
+++ b/review/standin-2/store_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -80,7 +79,7 @@
 }
 
 func (s *store) open() *door {
-	l := listen("127.0.0.1:0")
+	l := listen(anyPort)
 	d := &door{store: s, addr: l.Addr().String(), conns: map[net.Conn]struct{}{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/kv-key", d.guard(s.serveKey))
@@ -194,28 +193,3 @@
 		return
 	}
 }
-
-// Listeners take ports below the range that systems use for outgoing connections, so that none is taken while a process is down.
-const (
-	firstPort = 20000
-	ports     = 12000
-)
-
-// listen opens a listener, at a free port if the address names port 0, or ends the process.
-func listen(address string) net.Listener {
-	ip, port, err := net.SplitHostPort(address)
-	if err == nil && port != "0" {
-		var l net.Listener
-		if l, err = net.Listen("tcp", address); err == nil {
-			return l
-		}
-	}
-	for tries := 0; err == nil && tries < ports; tries++ {
-		if l, listenErr := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.IntN(ports)))); listenErr == nil {
-			return l
-		}
-	}
-	cannotRun("listen on %s: %v", address, err)
-
-	return nil
-}
