--- a/review/standin-2/cases_test.go
+++ b/review/standin-2/cases_test.go
@@ -6,6 +6,7 @@
 func init() {
 	cases = map[string]func(){
 		"cold-server":         cold,
+		"departed-server":     departed,
 		"deadly-request":      deadly,
 		"unframed-transcript": unframedTranscript,
 		"unframed-edit":       unframedEdit,
