--- a/review/standin-2/cases_test.go
+++ b/review/standin-2/cases_test.go
@@ -7,6 +7,7 @@
 	cases = map[string]func(){
 		"cold-server":         cold,
 		"departed-server":     departed,
+		"dropped-route":       dropped,
 		"deadly-request":      deadly,
 		"unframed-transcript": unframedTranscript,
 		"unframed-edit":       unframedEdit,
