--- a/review/standin-2/case_silent_test.go
+++ b/review/standin-2/case_silent_test.go
@@ -89,16 +89,16 @@
 	// isLate tells whether a request from a gateway in touch breaks the rule.
 	isLate func(seenRequest) bool
 
-	sentAt map[string]time.Time
-	lateAt map[string]bool
-	late   int
-	latest time.Duration
+	sentAt  map[string]time.Time
+	lateIDs map[string]bool
+	late    int
+	latest  time.Duration
 
 	served, unserved, lost int
 }
 
 func newSilentPlay() *silentPlay {
-	p := &silentPlay{store: newStore(), stop: make(chan struct{}), sentAt: map[string]time.Time{}, lateAt: map[string]bool{}}
+	p := &silentPlay{store: newStore(), stop: make(chan struct{}), sentAt: map[string]time.Time{}, lateIDs: map[string]bool{}}
 	shared := p.store.open()
 	zones := []string{"hn-a", "hn-b", "hn-c", "hn-d"}
 	for n, zone := range zones {
@@ -173,7 +173,7 @@
 	note := ""
 	if isLate {
 		p.late++
-		p.lateAt[x.id] = true
+		p.lateIDs[x.id] = true
 		p.latest = max(p.latest, r.arrivedAt.Sub(p.changedAt))
 		note = ": too late"
 	}
@@ -220,7 +220,7 @@
 		return
 	}
 	p.unserved++
-	if p.lateAt[id] {
+	if p.lateIDs[id] {
 		p.lost++
 	}
 }
