connector: a reset that the writer of an upload has met reaches the reader of the answer

What callers saw: an endpoint answers a long upload at once with a 200 that has no length, sends a part and resets the connection while the upload is still being written. The caller got the part as a whole answer, with a length of its own or with its last chunk.

Cause: the system reports a reset once, to whichever uses the connection first. The writer of the upload got it; the reader found a plain end of the connection, which ends an answer without a length.

TestReaderLearnsOfResetThatWriterMet shows the same without a network.

Ruled out: uploads of up to 8 KB are written before the answer is read, and what the buffers take whole leaves the reset to the reader.

Change: dialer.Conn. At the end of a connection its reader ends a write that still waits and asks how the writes went. A reset (ECONNRESET, or any other error but the one below) takes the place of the end.

--- /dev/null
+++ b/fleet/dialer/conn.go
@@ -0,0 +1,71 @@
+package dialer
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// ErrReset means that a connection ended without an end of what its peer was sending.
+var ErrReset = errors.New("dialer: the connection was reset")
+
+// Conn is a connection whose reader also learns of a reset that its writer has met. The system reports a reset once, to whichever uses the
+// connection first; the other one finds a plain end, as if the peer had sent all that it had to.
+type Conn struct {
+	net.Conn
+
+	// writing is held while bytes are written.
+	writing sync.Mutex
+	// writeErr is why the latest write failed, nil if it did not. writing must be held.
+	writeErr error
+}
+
+// NewConn returns a connection that reads from and writes to c.
+func NewConn(c net.Conn) *Conn {
+	return &Conn{Conn: c}
+}
+
+// Write implements io.Writer.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.writeErr = err
+
+	return n, err
+}
+
+// Read implements io.Reader. It returns io.EOF only if the peer has ended what it sent, else an error that matches ErrReset. Nothing can be
+// written after either.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
+
+	return n, err
+}
+
+// endError returns what the end of the connection means.
+func (c *Conn) endError() error {
+	// Ends a write that waits for the peer. One that has met the reset returns it.
+	_ = c.SetWriteDeadline(time.Unix(0, 1))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, os.ErrDeadlineExceeded) || isAfterEnd(c.writeErr) {
+		return io.EOF
+	}
+
+	return fmt.Errorf("%w: %w", ErrReset, c.writeErr)
+}
+
+// isAfterEnd reports whether a write failed because the connection was reset after the peer had ended what it sent. A reset without such an end
+// is ECONNRESET.
+func isAfterEnd(err error) bool {
+	return errors.Is(err, syscall.EPIPE)
+}
--- /dev/null
+++ b/fleet/dialer/conn_test.go
@@ -0,0 +1,68 @@
+package dialer
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// brokenConn is a connection whose writes wait and fail, and whose reader finds a plain end.
+type brokenConn struct {
+	net.Conn
+	// isWriting is closed once a write has begun, mayReturn once it may fail.
+	isWriting, mayReturn chan struct{}
+	writeErr             error
+}
+
+func (c *brokenConn) Write([]byte) (int, error) {
+	close(c.isWriting)
+	<-c.mayReturn
+
+	return 0, c.writeErr
+}
+
+func (c *brokenConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+// SetWriteDeadline ends the write, as the deadline of a real connection does.
+func (c *brokenConn) SetWriteDeadline(time.Time) error {
+	close(c.mayReturn)
+
+	return nil
+}
+
+// Guards against a reset that only the writer learns of, so that the reader takes what it has for all.
+func TestReaderLearnsOfResetThatWriterMet(t *testing.T) {
+	tests := []struct {
+		name     string
+		writeErr error
+		isReset  bool
+	}{
+		{"reset", os.NewSyscallError("write", syscall.ECONNRESET), true},
+		{"no acknowledgement", os.NewSyscallError("write", syscall.ETIMEDOUT), true},
+		{"the peer has ended what it sends and reads no more", os.NewSyscallError("write", syscall.EPIPE), false},
+		{"the write waits for a peer that has ended what it sends", os.ErrDeadlineExceeded, false},
+		{"all is written", nil, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := NewConn(&brokenConn{isWriting: make(chan struct{}), mayReturn: make(chan struct{}), writeErr: tt.writeErr})
+			written := make(chan error, 1)
+			go func() {
+				_, err := c.Write([]byte("u"))
+				written <- err
+			}()
+			<-c.Conn.(*brokenConn).isWriting
+			_, err := c.Read(make([]byte, 1))
+			if errors.Is(err, ErrReset) != tt.isReset || errors.Is(err, io.EOF) == tt.isReset {
+				t.Errorf("read: %v, want a reset: %v", err, tt.isReset)
+			}
+			if err := <-written; !errors.Is(err, tt.writeErr) {
+				t.Errorf("write: %v, want %v", err, tt.writeErr)
+			}
+		})
+	}
+}
--- a/router/internal/connector/conn.go
+++ b/router/internal/connector/conn.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"syscall"
 
+	"cardamompulley/fleet/dialer"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
 )
@@ -51,7 +52,7 @@
 	// unbind keeps the end of the request's context from closing the connection; it returns false if that has begun.
 	unbind      func() bool
 	endpoint    model.EndpointID
-	netConn     net.Conn
+	netConn     *dialer.Conn
 	bounded     *boundedReader
 	reader      *bufio.Reader
 	idleTimeout timekeeper.Millis
@@ -61,12 +62,13 @@
 }
 
 func newConn(id model.EndpointID, c net.Conn) *Conn {
-	bounded := &boundedReader{reader: c}
+	netConn := dialer.NewConn(c)
+	bounded := &boundedReader{reader: netConn}
 
 	return &Conn{
 		unbind:      notBound,
 		endpoint:    id,
-		netConn:     c,
+		netConn:     netConn,
 		bounded:     bounded,
 		reader:      bufio.NewReaderSize(bounded, readBufferBytes),
 		idleTimeout: defaultIdleTimeout,
@@ -92,7 +94,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	syscallConn, ok := c.netConn.(syscall.Conn)
+	syscallConn, ok := c.netConn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -133,8 +135,11 @@
 // sendLargeBody sends the request while the response is read, because an endpoint may respond before it has read the whole
 // body.
 func (c *Conn) sendLargeBody(head, body []byte) {
-	buffers := net.Buffers{head, body}
-	if _, err := buffers.WriteTo(c.netConn); err == nil {
+	start := append(head, body[:maxInlineBodyBytes]...)
+	if _, err := c.netConn.Write(start); err != nil {
+		return
+	}
+	if _, err := c.netConn.Write(body[maxInlineBodyBytes:]); err == nil {
 		c.isWritingBody.Store(false)
 	}
 }
