connector: what has a status outside 100 to 599, or 101, is no answer

What callers saw: after an answer with the status 000 to 099 (also +20 and -00) they waited until their deadline (504), and if what followed on the connection looked like an answer, they got that as a success; the same with 101. Answers with 600 to 999 were passed on.

Cause: every status under 200 was taken for that of an interim answer, and none above 599 was looked at.

Weighed for 600 and more: pass them on as errors of the endpoint. Callers know no such status, and the endpoint says with it only that it is in trouble; the failure of the attempt says the same and can be retried.

--- /dev/null
+++ b/fleet/checker/doc.go
@@ -0,0 +1,2 @@
+// Package checker checks that what an endpoint sends as an answer is one.
+package checker
--- /dev/null
+++ b/router/internal/connector/answer_head.go
@@ -0,0 +1,55 @@
+package connector
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"cardamompulley/fleet/checker"
+)
+
+const (
+	// maxHeadBytes bounds the head of an answer, together with the interim answers before it.
+	maxHeadBytes = 64 << 10
+	// maxErrorBytes bounds the text of an error that quotes an answer.
+	maxErrorBytes = 256
+)
+
+// ErrHeadTooLong means that the head of an answer, or the interim answers before it, do not end.
+var ErrHeadTooLong = errors.New("connector: the head of the answer is too long")
+
+// ErrMalformedHead means that an endpoint has sent other bytes than the head of an answer.
+var ErrMalformedHead = errors.New("connector: the answer has no head")
+
+// readResponseHead reads the head of the response to a request, and the interim answers before it.
+func (c *Conn) readResponseHead(method string) (*http.Response, error) {
+	c.bounded.bound(maxHeadBytes)
+	defer c.bounded.unbound()
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, fmt.Errorf("connector: answer of %s: %w", c.endpoint, c.headError(err))
+		}
+		if err := checker.CheckHead(response); err != nil {
+			return nil, fmt.Errorf("connector: answer of %s: %w", c.endpoint, err)
+		}
+		if response.StatusCode >= http.StatusOK {
+			c.updateIdleTimeout(response.Header)
+
+			return response, nil
+		}
+		_ = response.Body.Close()
+	}
+}
+
+// headError returns why a head cannot be read, without the bytes that the endpoint has sent in place of one.
+func (c *Conn) headError(err error) error {
+	switch {
+	case c.bounded.isExhausted():
+		return ErrHeadTooLong
+	case len(err.Error()) > maxErrorBytes:
+		return ErrMalformedHead
+	default:
+		return err
+	}
+}
--- a/router/internal/connector/conn.go
+++ b/router/internal/connector/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,20 +19,10 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// maxHeadBytes bounds the head of an answer, together with the interim answers before it.
-	maxHeadBytes = 64 << 10
-	// maxErrorBytes bounds the text of an error that quotes an answer.
-	maxErrorBytes = 256
 	// maxInlineBodyBytes is the largest body that is sent in full before the response is read.
 	maxInlineBodyBytes = 8 << 10
 )
 
-// ErrHeadTooLong means that the head of an answer, or the interim answers before it, do not end.
-var ErrHeadTooLong = errors.New("connector: the head of the answer is too long")
-
-// ErrMalformedHead means that an endpoint has sent other bytes than the head of an answer.
-var ErrMalformedHead = errors.New("connector: the answer has no head")
-
 // Request is an HTTP request to an endpoint.
 type Request struct {
 	Method string
@@ -158,35 +147,6 @@
 	return b.Bytes(), nil
 }
 
-func (c *Conn) readResponseHead(method string) (*http.Response, error) {
-	c.bounded.bound(maxHeadBytes)
-	defer c.bounded.unbound()
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, fmt.Errorf("connector: answer of %s: %w", c.endpoint, c.headError(err))
-		}
-		if response.StatusCode >= http.StatusOK {
-			c.updateIdleTimeout(response.Header)
-
-			return response, nil
-		}
-		_ = response.Body.Close()
-	}
-}
-
-// headError returns why a head cannot be read, without the bytes that the endpoint has sent in place of one.
-func (c *Conn) headError(err error) error {
-	switch {
-	case c.bounded.isExhausted():
-		return ErrHeadTooLong
-	case len(err.Error()) > maxErrorBytes:
-		return ErrMalformedHead
-	default:
-		return err
-	}
-}
-
 // updateIdleTimeout adopts the idle timeout that the endpoint announces in its Keep-Alive header.
 func (c *Conn) updateIdleTimeout(h http.Header) {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
