connector: an answer in whose head the name of a field holds a blank is no answer

What callers saw: a success with the line left out. Where the line was meant for the framing ("Content-Length : 40", "Transfer-Encoding : chunked"), an answer that its endpoint had broken off ended as whole with the connection, or the body held the marks of its chunks. The same with errors, with interim answers, and with the head after a chunked body: buffered, large and streamed answers.

Cause: net/http refuses names with control bytes, with other bytes that a name may not hold, and empty ones, but keeps a name with a blank as it is, and reads the answer as if the line were not there. The answer to the caller then leaves the line out.

Change: checker.CheckHead checks the names, by the library of golang.org/x/net that the modules had already; checker.NewBody checks those of the head after the body. Weighed: pass an answer on whose trailing head alone is malformed, as its body is whole. One with a control byte broke off before; who writes a malformed line is in trouble, and nothing says that the body is not.

--- a/fleet/checker/head.go
+++ b/fleet/checker/head.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // statusLimit is the number beyond the statuses.
@@ -18,6 +20,17 @@
 		return fmt.Errorf("%w: status %d", ErrMalformed, response.StatusCode)
 	}
 
+	return checkFields(response.Header)
+}
+
+// checkFields checks the names of fields. net/http leaves those in that hold a blank, and reads the answer as if they were not there.
+func checkFields(h http.Header) error {
+	for name, values := range h {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: the name of a field holds other bytes than a name may", ErrMalformed)
+		}
+	}
+
 	return nil
 }
 
--- a/fleet/checker/head_test.go
+++ b/fleet/checker/head_test.go
@@ -1,8 +1,11 @@
 package checker
 
 import (
+	"bufio"
 	"errors"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -17,3 +20,34 @@
 		}
 	}
 }
+
+// Guards against a name of a field that net/http reads as that of another field, or not at all.
+func TestFieldNamesHoldNoBlank(t *testing.T) {
+	for line, isMalformed := range map[string]bool{
+		"X-A: v": false, "!#$%&'*+-.^_`|~9: v": false, "X-A:": false, "Trailer: X-B": false,
+		"X-A : v": true, "X A: v": true, "Content-Length : 2": true, "Transfer-Encoding : chunked": true,
+	} {
+		head := "HTTP/1.1 200 OK\r\n" + line + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+		if err := CheckHead(read(t, head)); errors.Is(err, ErrMalformed) != isMalformed {
+			t.Errorf("head with %q: %v, want malformed: %v", line, err, isMalformed)
+		}
+		if strings.HasPrefix(line, "Trailer") {
+			continue
+		}
+		trailing := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line + "\r\n\r\n"
+		if _, err := io.ReadAll(NewBody(read(t, trailing))); errors.Is(err, ErrMalformed) != isMalformed {
+			t.Errorf("trailing head with %q: %v, want malformed: %v", line, err, isMalformed)
+		}
+	}
+}
+
+func read(t *testing.T, answer string) *http.Response {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(answer)), &http.Request{Method: http.MethodGet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = response.Body.Close() })
+
+	return response
+}
--- a/router/internal/connector/answer_head.go
+++ b/router/internal/connector/answer_head.go
@@ -35,6 +35,7 @@
 		}
 		if response.StatusCode >= http.StatusOK {
 			c.updateIdleTimeout(response.Header)
+			response.Body = checker.NewBody(response)
 
 			return response, nil
 		}
--- a/router/internal/forwarder/malformed_answer_test.go
+++ b/router/internal/forwarder/malformed_answer_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,11 +11,12 @@
 // callerTimeoutMillis is how long callers of these tests wait.
 const callerTimeoutMillis = "2000"
 
-// serveAnswer sends a request to an endpoint that gives an answer, and returns the response.
-func serveAnswer(t *testing.T, method, answer string) (w *httptest.ResponseRecorder, isWhole bool) {
+// serveAnswer sends a request to an endpoint that gives an answer, and returns the response. The endpoint closes the connection after the
+// answer if closes is true.
+func serveAnswer(t *testing.T, closes bool, answer string) (w *httptest.ResponseRecorder, isWhole bool) {
 	t.Helper()
 	w = httptest.NewRecorder()
-	r := httptest.NewRequest(method, "http://a/", nil)
+	r := httptest.NewRequest(http.MethodGet, "http://a/", nil)
 	r.Header.Set("Cardamompulley-Attempt-Id", "a")
 	r.Header.Set("Cardamompulley-Deadline-Ms", callerTimeoutMillis)
 	defer func() {
@@ -22,15 +24,15 @@
 			isWhole = false
 		}
 	}()
-	newTestForwarder(listenWithAnswers(t, false, answer)).ServeHTTP(w, r)
+	newTestForwarder(listenWithAnswers(t, closes, answer)).ServeHTTP(w, r)
 
 	return w, true
 }
 
 // checkNoAnswer checks that what an endpoint sends is not passed on: that the caller gets a failure of the gateway, before its time is up.
-func checkNoAnswer(t *testing.T, answer string) {
+func checkNoAnswer(t *testing.T, closes bool, answer string) {
 	t.Helper()
-	w, isWhole := serveAnswer(t, http.MethodGet, answer)
+	w, isWhole := serveAnswer(t, closes, answer)
 	if w.Code != http.StatusBadGateway || !isWhole {
 		t.Errorf("status %d, head %v, body %q, want 502", w.Code, w.Header(), w.Body)
 	}
@@ -41,13 +43,13 @@
 	const head = signedHead + "Content-Length: 2\r\n\r\n"
 	for _, status := range []string{"000", "001", "042", "099", "+20", "-00", "600", "700", "999", "101"} {
 		t.Run(status, func(t *testing.T) {
-			checkNoAnswer(t, "HTTP/1.1 "+status+" X\r\n"+head+"ok")
+			checkNoAnswer(t, false, "HTTP/1.1 "+status+" X\r\n"+head+"ok")
 		})
 		t.Run(status+" before what looks like an answer", func(t *testing.T) {
-			checkNoAnswer(t, "HTTP/1.1 "+status+" X\r\n\r\nHTTP/1.1 200 OK\r\n"+signedHead+"Content-Length: 8\r\n\r\nsmuggled")
+			checkNoAnswer(t, false, "HTTP/1.1 "+status+" X\r\n\r\nHTTP/1.1 200 OK\r\n"+signedHead+"Content-Length: 8\r\n\r\nsmuggled")
 		})
 		t.Run(status+" after an interim answer", func(t *testing.T) {
-			checkNoAnswer(t, "HTTP/1.1 103 E\r\nLink: x\r\n\r\nHTTP/1.1 "+status+" X\r\n"+head+"ok")
+			checkNoAnswer(t, false, "HTTP/1.1 103 E\r\nLink: x\r\n\r\nHTTP/1.1 "+status+" X\r\n"+head+"ok")
 		})
 	}
 }
@@ -56,7 +58,7 @@
 func TestAnswerAfterInterimAnswersIsPassedOn(t *testing.T) {
 	for _, status := range []string{"100", "102", "103", "199"} {
 		interim := strings.Repeat("HTTP/1.1 "+status+" I\r\nLink: x\r\n\r\n", 3)
-		w, _ := serveAnswer(t, http.MethodGet, interim+testResponse)
+		w, _ := serveAnswer(t, false, interim+testResponse)
 		if w.Code != http.StatusOK || w.Body.String() != "ok" || w.Header().Get("Link") != "" {
 			t.Errorf("after %s: status %d, head %v, body %q", status, w.Code, w.Header(), w.Body)
 		}
@@ -72,3 +74,64 @@
 		}
 	}
 }
+
+// malformedLines are lines of a head of which the name is none.
+var malformedLines = []string{
+	"X-A : v", "X A: v", " X-A: v", "X-A\t: v", "X\x01A: v", "X\x00A: v", "X\x7fA: v", "X\x80A: v", "X(A): v", ": v", "X-A", "Content-Length : 2",
+	"Content-Length : 40", "Transfer-Encoding : chunked", "Cardamompulley-Attempt-Id : b", "Connection : close",
+}
+
+// Guards against an answer in whose head the name of a field holds a blank or a control byte: passed on without the line, or with a body
+// that is not what the endpoint meant.
+func TestAnswerWithMalformedFieldNameIsNotPassedOn(t *testing.T) {
+	const sized = "Content-Length: 2\r\n\r\nok"
+	for _, line := range malformedLines {
+		heads := map[string]string{
+			"final":                 "HTTP/1.1 200 OK\r\n" + line + "\r\n" + signedHead + sized,
+			"final, of an error":    "HTTP/1.1 500 E\r\n" + line + "\r\n" + signedHead + sized,
+			"final, without length": "HTTP/1.1 200 OK\r\n" + line + "\r\n" + signedHead + "Connection: close\r\n\r\nok",
+			"interim":               "HTTP/1.1 103 E\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n" + signedHead + sized,
+			"trailing":              "HTTP/1.1 200 OK\r\n" + signedHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line + "\r\n\r\n",
+		}
+		for name, answer := range heads {
+			t.Run(fmt.Sprintf("%s %q", name, line), func(t *testing.T) {
+				checkNoAnswer(t, true, answer)
+			})
+		}
+	}
+}
+
+// Guards against a large answer, or a stream, that ends as complete although its trailing head is none.
+func TestResponseThatHasBegunBreaksOffAtMalformedTrailer(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	for _, line := range malformedLines {
+		answers := map[string]string{
+			"large":  "HTTP/1.1 200 OK\r\n" + signedHead + chunked + "\r\n20000\r\n" + strings.Repeat("p", 0x20000) + "\r\n0\r\n" + line + "\r\n\r\n",
+			"stream": streamHead + firstChunk + "0\r\n" + line + "\r\n\r\n",
+		}
+		for name, answer := range answers {
+			t.Run(fmt.Sprintf("%s %q", name, line), func(t *testing.T) {
+				if _, isWhole := serveAnswer(t, false, answer); isWhole {
+					t.Error("the response ends as complete")
+				}
+			})
+		}
+	}
+}
+
+// A trailing head and unusual names of fields are no fault of an answer.
+func TestAnswerWithUnusualFieldsIsPassedOn(t *testing.T) {
+	answers := map[string]string{
+		"trailer": "HTTP/1.1 200 OK\r\n" + signedHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Digest: d\r\n\r\n",
+		"names":   "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: v\r\n9: v\r\n" + signedHead + "Content-Length: 2\r\n\r\nok",
+		"values":  "HTTP/1.1 200 OK\r\nX-A: \tv w \x80\r\nX-B:\r\n" + signedHead + "Content-Length: 2\r\n\r\nok",
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			w, _ := serveAnswer(t, false, answer)
+			if w.Code != http.StatusOK || w.Body.String() != "ok" {
+				t.Errorf("status %d, body %q", w.Code, w.Body)
+			}
+		})
+	}
+}
