connector: an answer of HTTP/1.0 has no chunks, and one of another major version is none

What callers saw: where an endpoint wrote chunks under HTTP/1.0, a success whose body held the marks of the chunks, or, with a length beside them, the first bytes of these; where it wrote HTTP/0.9, 2.0 or 3.1 in front of its answer, a success.

Cause: net/http drops the transfer coding of an answer of HTTP/1.0, and takes any version that is written as one.

Answers of HTTP/1.0 with a length, or that end with their connection, are passed on as before (TestAnswerOfEarlierVersionIsPassedOn), and a few bytes that begin no answer still fail at once (TestFewBytesThatAreNoAnswerFailAtOnce).

Change: an answer of HTTP/1.0 is read as one of 1.1, so that its coding shows, and is refused if it has one, or if it is an interim answer, which HTTP/1.0 does not know. Weighed: take the chunks for what they are; nothing in such an answer is to be relied on (RFC 9112, 6.1).

--- a/fleet/checker/head.go
+++ b/fleet/checker/head.go
@@ -8,14 +8,21 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// statusLimit is the number beyond the statuses.
-const statusLimit = 600
+const (
+	// statusLimit is the number beyond the statuses.
+	statusLimit = 600
+	// majorVersion is the major version of HTTP that endpoints speak.
+	majorVersion = 1
+)
 
 // ErrMalformed means that an endpoint has sent something else than an answer.
 var ErrMalformed = errors.New("checker: what was sent is no answer")
 
-// CheckHead checks the head of an answer or of an interim answer. Errors match ErrMalformed.
+// CheckHead checks the head of an answer or of an interim answer over HTTP/1. Errors match ErrMalformed.
 func CheckHead(response *http.Response) error {
+	if response.ProtoMajor != majorVersion {
+		return fmt.Errorf("%w: HTTP version %d.%d", ErrMalformed, response.ProtoMajor, response.ProtoMinor)
+	}
 	if !isStatus(response.StatusCode) {
 		return fmt.Errorf("%w: status %d", ErrMalformed, response.StatusCode)
 	}
--- a/router/internal/connector/answer_head.go
+++ b/router/internal/connector/answer_head.go
@@ -26,7 +26,7 @@
 	c.bounded.bound(maxHeadBytes)
 	defer c.bounded.unbound()
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		response, err := c.readHead(&http.Request{Method: method})
 		if err != nil {
 			return nil, fmt.Errorf("connector: answer of %s: %w", c.endpoint, c.headError(err))
 		}
@@ -43,6 +43,15 @@
 	}
 }
 
+// readHead reads the head of one answer, which may be an interim one.
+func (c *Conn) readHead(r *http.Request) (*http.Response, error) {
+	if c.isEarlierVersion() {
+		return c.readEarlierVersion(r)
+	}
+
+	return http.ReadResponse(c.reader, r)
+}
+
 // headError returns why a head cannot be read, without the bytes that the endpoint has sent in place of one.
 func (c *Conn) headError(err error) error {
 	switch {
--- a/router/internal/forwarder/malformed_answer_test.go
+++ b/router/internal/forwarder/malformed_answer_test.go
@@ -135,3 +135,42 @@
 		})
 	}
 }
+
+// Bytes that begin no answer fail their request at once, also if no more of them come.
+func TestFewBytesThatAreNoAnswerFailAtOnce(t *testing.T) {
+	for _, answer := range []string{"\r\n", "no\n", "HTTP/1\r\n", "HTTP/1.0\r\n"} {
+		checkNoAnswer(t, false, answer)
+	}
+}
+
+// Guards against an answer of another version of the protocol, whose framing is not that of this one.
+func TestAnswerOfOtherVersionIsNotPassedOn(t *testing.T) {
+	const chunks = "\r\n2\r\nok\r\n0\r\n\r\n"
+	answers := map[string]string{
+		"2.0":                            "HTTP/2.0 200 OK\r\n" + signedHead + "Content-Length: 2\r\n\r\nok",
+		"0.9":                            "HTTP/0.9 200 OK\r\n" + signedHead + "Content-Length: 2\r\n\r\nok",
+		"3.1":                            "HTTP/3.1 200 OK\r\n" + signedHead + "Content-Length: 2\r\n\r\nok",
+		"2.0, interim":                   "HTTP/2.0 100 C\r\n\r\nHTTP/1.1 200 OK\r\n" + signedHead + "Content-Length: 2\r\n\r\nok",
+		"1.0, interim":                   "HTTP/1.0 100 C\r\n\r\nHTTP/1.0 200 OK\r\n" + signedHead + "Content-Length: 2\r\n\r\nok",
+		"1.0 with chunks":                "HTTP/1.0 200 OK\r\n" + signedHead + "Transfer-Encoding: chunked\r\n" + chunks,
+		"1.0 with chunks and a length":   "HTTP/1.0 200 OK\r\n" + signedHead + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"1.0 with a coding that is none": "HTTP/1.0 200 OK\r\n" + signedHead + "Transfer-Encoding: x\r\n" + chunks,
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			checkNoAnswer(t, true, answer)
+		})
+	}
+}
+
+// An answer of HTTP/1.0 has a length or ends with its connection.
+func TestAnswerOfEarlierVersionIsPassedOn(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.0 200 OK\r\n" + signedHead + "Content-Length: 2\r\n\r\nok",
+		"HTTP/1.0 200 OK\r\n" + signedHead + "\r\nok",
+	} {
+		if w, _ := serveAnswer(t, true, answer); w.Code != http.StatusOK || w.Body.String() != "ok" {
+			t.Errorf("%q: status %d, body %q", answer, w.Code, w.Body)
+		}
+	}
+}
