forwarder: callers are not told what an endpoint sent in place of an answer, nor its address

What callers saw: the text of a 502 quoted the line that the endpoint had sent ("malformed HTTP response ..."), and named the address at which an endpoint refuses connections.

Cause: the refusal held the whole error of the attempt.

Change: attemptError parts the reason, which callers are told, from the cause. The log now has the cause also where a body breaks off (a reset, a malformed trailing head); it said only that "the stream broke off", now "the answer broke off: ..." and why.

--- a/router/internal/forwarder/attempt.go
+++ b/router/internal/forwarder/attempt.go
@@ -14,11 +14,13 @@
 
 // Errors of an attempt.
 var (
+	errNoConnection      = errors.New("forwarder: the endpoint cannot be reached")
+	errNoResponse        = errors.New("forwarder: the endpoint sent no answer, or what is none")
 	errResponseMismatch  = errors.New("forwarder: the answer belongs to another request")
 	errUnsigned          = errors.New("forwarder: the endpoint does not vouch for its answer")
 	errNotRun            = errors.New("forwarder: the endpoint did not run the request")
 	errEndpointError     = errors.New("forwarder: the endpoint failed the request")
-	errResponseTruncated = errors.New("forwarder: the stream broke off")
+	errResponseTruncated = errors.New("forwarder: the answer broke off")
 	errEventTooLong      = errors.New("forwarder: an event of the stream does not end")
 	errNotContinued      = errors.New("forwarder: the endpoint did not go on with the stream")
 )
@@ -33,7 +35,7 @@
 		}
 		p.forwarder.RecordDialError(endpoint, err)
 
-		return p.newFailure(err, retrier.AttemptFailure{})
+		return p.newFailure(&attemptError{errNoConnection, err}, retrier.AttemptFailure{})
 	}
 	if p.forwarder.wantsNoRequests(endpoint) {
 		return p.skipEndpoint(conn)
@@ -43,7 +45,7 @@
 	sentAt := p.forwarder.clock.Now()
 	response, err := conn.Send(p.endpointRequest())
 	if err != nil {
-		return p.failAfterSend(conn, err)
+		return p.failAfterSend(conn, &attemptError{errNoResponse, err})
 	}
 	// By the time this runs, the body has been read to its end or the connection is closed.
 	defer func() { _ = response.Body.Close() }()
@@ -84,7 +86,7 @@
 func (p *proxiedRequest) newFailure(err error, failure retrier.AttemptFailure) *dispatcher.Failure {
 	err = p.nameOwnEnd(err)
 	failure.IsFinal = p.cannotRetry()
-	refusal := model.NewRefusal(model.CodeEndpointFailed, "the endpoint did not serve the request: "+err.Error()).
+	refusal := model.NewRefusal(model.CodeEndpointFailed, "the endpoint did not serve the request: "+callerText(err)).
 		WithRetryAfter(endpointFailureRetryAfter)
 	if errors.Is(err, errShutdown) {
 		refusal = shutdownRefusal()
--- a/router/internal/forwarder/relay.go
+++ b/router/internal/forwarder/relay.go
@@ -53,7 +53,10 @@
 		return p.relayStream(conn, response)
 	}
 	prefix, isComplete, err := readPrefix(response)
-	if err != nil || len(prefix) == 0 && p.lacksBody(response) {
+	if err != nil {
+		return p.failAfterSend(conn, &attemptError{errResponseTruncated, err})
+	}
+	if len(prefix) == 0 && p.lacksBody(response) {
 		return p.failAfterSend(conn, errResponseTruncated)
 	}
 	if !isComplete && impliesNotRun(response.StatusCode) {
--- a/router/internal/forwarder/stream.go
+++ b/router/internal/forwarder/stream.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		if !errors.Is(err, io.EOF) {
-			return p.failStream(conn, err)
+			return p.failStream(conn, &attemptError{errResponseTruncated, err})
 		}
 
 		return p.finishStream(conn, response)
