gateway: an answer without end of what listens at another gateway's address takes bounded memory

What callers would see: whatever listens at the address of a gateway that has gone, and answers calls between gateways without end, takes all the memory of the gateways that call it, and all their requests with it. Addresses are used again.

Cause: neither the messages nor the heads that gateways read from each other had a bound of ours.

Bytes that are no HTTP/2 held before: 1 MB or less is read.

Change: 8 MB for a message, in answers and in calls, 64 KB for a head. A copy of a range that is larger fails as it does when a gateway cannot be reached, and the store is read; one page of the store has 4 MB at the most.

--- a/router/internal/gateway/peers.go
+++ b/router/internal/gateway/peers.go
@@ -31,6 +31,10 @@
 	shortPlacements = 12
 	// compressMinBytes is the size from which answers are compressed: lists of changes of the store. Gossip consists of hashes.
 	compressMinBytes = 1024
+	// maxMessageBytes bounds a message of another gateway: copies of both ranges of the store.
+	maxMessageBytes = 8 << 20
+	// maxPeerHeadBytes bounds the head of an answer of another gateway.
+	maxPeerHeadBytes = 64 << 10
 	// maxReportBytes is the maximum size of the load reports in one message.
 	maxReportBytes = 140
 	// maxSuspectBytes is the maximum size of the suspects in a full message, shortSuspectBytes in a short one.
@@ -94,7 +98,7 @@
 // handler serves the gossip exchanges that other gateways start.
 func (p *peers) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(messengerconnect.NewGatewayHandler(p, connect.WithCompressMinBytes(compressMinBytes)))
+	mux.Handle(messengerconnect.NewGatewayHandler(p, connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(maxMessageBytes)))
 
 	return mux
 }
@@ -207,7 +211,7 @@
 	defer p.mu.Unlock()
 	c, ok := p.clients[address]
 	if !ok {
-		c = messengerconnect.NewGatewayClient(p.httpClient, "http://"+address)
+		c = messengerconnect.NewGatewayClient(p.httpClient, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
 		p.clients[address] = c
 	}
 
--- a/router/internal/gateway/transport.go
+++ b/router/internal/gateway/transport.go
@@ -24,9 +24,10 @@
 	d.KeepAliveConfig.Enable = false
 	d.KeepAlive = -1
 	t := &http.Transport{
-		DialContext:     c.DialFunc(d),
-		IdleConnTimeout: peerIdleTimeout.Duration(),
-		Protocols:       &http.Protocols{},
+		DialContext:            c.DialFunc(d),
+		IdleConnTimeout:        peerIdleTimeout.Duration(),
+		MaxResponseHeaderBytes: maxPeerHeadBytes,
+		Protocols:              &http.Protocols{},
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
 
