follower, submitter: messages of other processes have a bound on the own interface

What callers would see: as between gateways, what listens at the address of a router or a sidecar that has gone, and answers without end, takes all the memory of the process that calls it. Nothing runs this interface on the platform today.

Cause: the calls that processes take had a bound, the answers that they read had none.

Change: the bound of a call between peers, 16 MB, holds for the answer too; the values of a configuration are fetched in as many calls as it takes, so that a large one still arrives (TestValuesOfLargeConfigurationArrive, 40 MB). A message of a sidecar may hold a whole response.

--- a/fleet/follower/peer.go
+++ b/fleet/follower/peer.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -155,18 +157,27 @@
 	}
 	manifest := response.Manifest
 	err = f.fetchMissingValues(ctx, manifest, func(ctx context.Context, hashes []string) (map[string][]byte, error) {
-		values, err := client.FetchValues(ctx, &messenger.FetchValuesRequest{Hashes: hashes})
-		if err != nil {
-			return nil, err
-		}
-
-		return values.Values, nil
+		return fetchValues(ctx, client, hashes)
 	})
 	if err != nil {
 		f.Log.Write(logger.EventPeerExchangeFailed, logger.Err(err))
 	}
 }
 
+// fetchValues returns the values with the given hashes that a peer has, keyed by hash.
+func fetchValues(ctx context.Context, client messengerconnect.PeerClient, hashes []string) (map[string][]byte, error) {
+	values := make(map[string][]byte, len(hashes))
+	for batch := range slices.Chunk(hashes, maxValuesPerMessage) {
+		response, err := client.FetchValues(ctx, &messenger.FetchValuesRequest{Hashes: batch})
+		if err != nil {
+			return nil, err
+		}
+		maps.Copy(values, response.Values)
+	}
+
+	return values, nil
+}
+
 // peerHandler implements the Peer service, which other processes call.
 type peerHandler struct {
 	f *Follower
@@ -179,10 +190,11 @@
 	return messengerconnect.NewPeerHandler(peerHandler{f: f}, append(PeerHandlerOptions(), auth)...)
 }
 
-// PeerClientOptions returns the options for clients of the Peer service: authentication with the token, and compression.
+// PeerClientOptions returns the options for clients of the Peer service: authentication with the token, compression and a limit on the
+// message size.
 func PeerClientOptions(token string) []connect.ClientOption {
 	return []connect.ClientOption{
-		WithToken(token), connect.WithSendGzip(), connect.WithCompressMinBytes(compressMinBytes),
+		WithToken(token), connect.WithSendGzip(), connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(maxPeerMessageBytes),
 	}
 }
 
@@ -193,7 +205,11 @@
 	}
 }
 
-const maxPeerMessageBytes = 16 << 20
+const (
+	maxPeerMessageBytes = 16 << 20
+	// maxValuesPerMessage is how many values of the greatest size fit into a message, with room for what is around them.
+	maxValuesPerMessage = maxPeerMessageBytes/configurator.MaxValueBytes - 1
+)
 
 // Exchange merges the peer's view and returns this process's view.
 func (h peerHandler) Exchange(_ context.Context, r *messenger.ExchangeRequest) (*messenger.ExchangeResponse, error) {
--- a/router/internal/submitter/response.go
+++ b/router/internal/submitter/response.go
@@ -20,7 +20,11 @@
 	ErrTooLarge = errors.New("submitter: answer too large")
 )
 
-const maxResponseBytes = 16 << 20
+const (
+	maxResponseBytes = 16 << 20
+	// maxMessageBytes bounds a message of a sidecar: a whole response and what is around it.
+	maxMessageBytes = maxResponseBytes + 64<<10
+)
 
 // Response is a response that has begun. Its pieces are read one by one with NextPiece or all at once with ReadAll. It must
 // be closed.
--- a/router/internal/submitter/submitter.go
+++ b/router/internal/submitter/submitter.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 
 	"cardamompulley/fleet/budgeter"
@@ -128,7 +129,7 @@
 	defer s.mu.Unlock()
 	c, ok := s.clients[address]
 	if !ok {
-		c = messengerconnect.NewEndpointClient(s.httpClient, "http://"+address, follower.WithToken(s.token))
+		c = messengerconnect.NewEndpointClient(s.httpClient, "http://"+address, follower.WithToken(s.token), connect.WithReadMaxBytes(maxMessageBytes))
 		s.clients[address] = c
 	}
 
--- a/sidecar/internal/worker/filter_idempotency.go
+++ b/sidecar/internal/worker/filter_idempotency.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc/iter"
 
 	"cardamompulley/fleet/deduplicator"
@@ -159,7 +160,7 @@
 }
 
 func (w *Worker) newPeerClient(address string) messengerconnect.EndpointClient {
-	return messengerconnect.NewEndpointClient(w.httpClient, "http://"+address, follower.WithToken(w.token))
+	return messengerconnect.NewEndpointClient(w.httpClient, "http://"+address, follower.WithToken(w.token), connect.WithReadMaxBytes(maxRequestBytes))
 }
 
 // Release answers the release request of the home of a newer generation. A key that has not run here will not run here,
