forwarder: an answer that is no list of cached parts takes its connection along

What callers would see: after the death of all gateways, or where a caller resumes a stream, a late answer to another request is taken for the list of an endpoint; the list itself then waits on the kept connection and is the next request's answer (502, as the attempt's ID does not fit). An answer "{}", a list that names another attempt, or a count such as 1e300 is believed: a stream may go on at a wrong software version, or none that would be right is found.

Cause: any answer on the connection counted as the list, and the connection went back whatever it held.

Change: a list that names an attempt, has another status or cannot be decoded closes its connection.

--- a/router/internal/forwarder/cache_list.go
+++ b/router/internal/forwarder/cache_list.go
@@ -115,13 +115,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), cacheListTimeout.Duration())
 	defer cancel()
 	cacheListsRead.Inc()
-	raw, err := l.fetch(ctx, e)
-	if err != nil {
-		list.err = fmt.Errorf("list of %s: %w", e.ID, err)
-
-		return
-	}
-	parts, err := platform.DecodeCacheList(raw)
+	parts, err := l.fetch(ctx, e)
 	if err != nil {
 		list.err = fmt.Errorf("list of %s: %w", e.ID, err)
 
@@ -133,7 +127,8 @@
 	}
 }
 
-func (l *cacheLists) fetch(ctx context.Context, e *cataloguer.Endpoint) ([]byte, error) {
+// fetch reads the list of an endpoint. A connection on which anything but a list has come carries no other request: the list may follow.
+func (l *cacheLists) fetch(ctx context.Context, e *cataloguer.Endpoint) ([]platform.CachedPart, error) {
 	conn, err := l.pool.Get(ctx, e.ID, e.Address)
 	if err != nil {
 		return nil, err
@@ -147,15 +142,31 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxCacheListBytes))
-	if err != nil || len(raw) == maxCacheListBytes || !conn.IsReusableAfter(response) {
+	parts, err := readCacheList(response)
+	if err != nil || !conn.IsReusableAfter(response) {
 		conn.Close()
 	} else {
 		l.pool.Put(conn)
 	}
-	if err == nil && response.StatusCode != http.StatusOK {
-		err = fmt.Errorf("%w: status %d", errNoCacheList, response.StatusCode)
+
+	return parts, err
+}
+
+// readCacheList reads the list that a response holds. The response to a request of a caller names its attempt; it is none.
+func readCacheList(response *http.Response) ([]platform.CachedPart, error) {
+	if platform.DecodeResponseMetadata(response.StatusCode, response.Header).AttemptID != "" {
+		return nil, errResponseMismatch
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: status %d", errNoCacheList, response.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxCacheListBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > maxCacheListBytes {
+		return nil, fmt.Errorf("%w: more than %d bytes", errNoCacheList, maxCacheListBytes)
 	}
 
-	return raw, err
+	return platform.DecodeCacheList(raw)
 }
--- a/router/internal/forwarder/cache_list_test.go
+++ b/router/internal/forwarder/cache_list_test.go
@@ -54,3 +54,43 @@
 		t.Errorf("later, %d tokens are kept: %v", kept, err)
 	}
 }
+
+// Guards against the late answer to another request that is taken for the list of an endpoint, while the list itself becomes the answer to the
+// next request on the connection.
+func TestAnswerThatIsNoListTakesItsConnectionAlong(t *testing.T) {
+	const list = `{"held": [["", "a", 7, "m"]]}`
+	ok := func(head, body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}
+	extras := map[string]string{
+		"text":                      ok(signedHead, "ok"),
+		"a list of another request": ok(signedHead, list),
+		"text without an ID":        ok("", "ok"),
+		"an object without a list":  ok("", "{}"),
+		"a list with an odd count":  ok("", `{"held": [["", "a", 1e300, "m"]]}`),
+		"a failure":                 "HTTP/1.1 500 E\r\n" + signedHead + "Content-Length: 0\r\n\r\n",
+		"a status that is none":     "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok",
+		"a blank in a field's name": ok("X A: v\r\n", list),
+	}
+	for name, extra := range extras {
+		t.Run(name, func(t *testing.T) {
+			f := newTestForwarder(listenWithAnswers(t, false, testResponse, extra, okAnswer))
+			if w, _ := serve(f, "a"); w.Code != http.StatusOK {
+				t.Fatalf("first request: status %d", w.Code)
+			}
+			endpoint := f.CurrentView().Endpoint("e")
+			key := cachedPartKey{id: 0xa, model: "m"}
+			if kept, err := f.cacheLists.kept(t.Context(), endpoint, key, timekeeper.Hour); err == nil {
+				t.Errorf("%d tokens are kept, by an answer that is no list", kept)
+			}
+			conn, err := f.pool.Get(t.Context(), endpoint.ID, endpoint.Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if conn.IsReused {
+				t.Error("the connection carries the next request")
+			}
+		})
+	}
+}
