prober: a report that cannot be read is no crash of its endpoint

What callers would see: a broken answer to a sidecar's probe (cut, empty, "{}", a status of 000 or 500, a malformed head) counted as a crash of the endpoint, and the next sound report as another: the requests that ran were suspected of two crashes, and the endpoint began cold twice.

Cause: an answer without a report was taken for another start of the endpoint, whose name is not known.

Change: an answer without a report says nothing of the start; only two reports that name different starts do. Heads are checked as elsewhere.

--- a/sidecar/internal/prober/prober.go
+++ b/sidecar/internal/prober/prober.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cardamompulley/fleet/checker"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -107,7 +108,8 @@
 }
 
 // update applies the result of a probe and returns the state change. An endpoint that goes down has crashed unless its probe
-// timed out; one that stays up has crashed if its incarnation has changed. p.mu must be held.
+// timed out; one that stays up has crashed if its incarnation has changed. A response without a valid report says nothing of the incarnation.
+// p.mu must be held.
 func (p *Prober) update(report Report, err error, connectionBroke bool) StateChange {
 	if err != nil {
 		p.failures++
@@ -119,8 +121,11 @@
 		return StateChange{WentDown: true, HasCrashed: p.incarnation != "" && !isTimeout(err)}
 	}
 	p.failures = 0
+	if report.Incarnation == unreportedIncarnation && p.incarnation != "" && !p.isDown {
+		return StateChange{}
+	}
 	change := StateChange{
-		HasCrashed: p.incarnation != "" && report.Incarnation != p.incarnation && !p.isDown,
+		HasCrashed: isReported(p.incarnation) && report.Incarnation != p.incarnation && !p.isDown,
 		CameUp:     p.isDown || p.incarnation == "",
 		BecameCold: report.IsCold && !p.isCold,
 	}
@@ -134,6 +139,11 @@
 	return change
 }
 
+// isReported reports whether an incarnation is one that the endpoint has named.
+func isReported(incarnation string) bool {
+	return incarnation != "" && incarnation != unreportedIncarnation
+}
+
 // fetchReport returns the report of the endpoint. An endpoint that responds without a valid report counts as up.
 func (p *Prober) fetchReport(ctx context.Context) (Report, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.reportURL, nil)
@@ -150,9 +160,12 @@
 	if err != nil {
 		return Report{}, fmt.Errorf("prober: %s: %w", p.reportURL, err)
 	}
-	if response.StatusCode == http.StatusOK {
+	if response.StatusCode == http.StatusOK && checker.CheckHead(response) == nil {
 		_ = json.Unmarshal(body, &report)
 	}
+	if report.Incarnation == "" {
+		report.Incarnation = unreportedIncarnation
+	}
 
 	return report, nil
 }
