--- a/sidecar/internal/prober/broken_answer_test.go
+++ b/sidecar/internal/prober/broken_answer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -81,3 +82,37 @@
 		t.Errorf("changes %+v", changes)
 	}
 }
+
+// Guards against a report without end that takes the memory of the sidecar.
+func TestReportWithoutEndTakesBoundedMemory(t *testing.T) {
+	const targetMemory = 256 << 20
+	for _, start := range []string{"HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nA: ", "HTTP/1.1 200 OK\r\n\r\n"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, start)
+			chunk := strings.Repeat("b", 64<<10)
+			for sent := 0; sent < targetMemory; sent += len(chunk) {
+				if _, err := io.WriteString(conn, chunk); err != nil {
+					break
+				}
+			}
+			_ = conn.Close()
+		}()
+		p := NewProber("http://" + l.Addr().String())
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		p.Probe(t.Context(), false)
+		runtime.ReadMemStats(&after)
+		if n := after.TotalAlloc - before.TotalAlloc; n > targetMemory/32 {
+			t.Errorf("%q: %d MB were allocated for one report", start, n>>20)
+		}
+		_ = l.Close()
+	}
+}
--- a/sidecar/internal/prober/prober.go
+++ b/sidecar/internal/prober/prober.go
@@ -17,7 +17,9 @@
 const (
 	probeInterval  = timekeeper.Second
 	probeTimeout   = timekeeper.Second
+	idleTimeout    = timekeeper.Minute
 	maxReportBytes = 64 << 10
+	maxHeadBytes   = 64 << 10
 	// failuresUntilDown is the number of failed probes in a row after which the endpoint counts as down.
 	failuresUntilDown = 2
 	// unreportedIncarnation stands for the incarnation of an endpoint that responds without a report.
@@ -63,8 +65,11 @@
 	return &Prober{
 		OnChange:  func(StateChange) {},
 		reportURL: baseURL + "/load",
-		client:    &http.Client{Timeout: probeTimeout.Duration()},
-		done:      make(chan struct{}),
+		client: &http.Client{
+			Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: idleTimeout.Duration()},
+			Timeout:   probeTimeout.Duration(),
+		},
+		done: make(chan struct{}),
 	}
 }
 
