watcher: a broken answer is no VM list and no manifest

What callers would see: a router or sidecar that reads "null", or a 304 that it has not asked for, as the VM list knows no VM any more; a malformed head is passed over as at endpoints.

Cause: what could be decoded counted; net/http passes malformed names on.

Statuses that are none, cut lists and bodies shorter than their length failed before.

Change: checker.CheckHead and checker.NewBody for each answer, null is no list, and 304 counts only for a list that is known. The heads of these services and of peers have a bound of 64 KB. Our stand-in of the VM list wrote null before it had one; it writes an empty list now.

--- a/fleet/follower/follower.go
+++ b/fleet/follower/follower.go
@@ -31,6 +31,8 @@
 	budgetBurstSeconds  = 10
 	// maxIdleConnections is the maximum number of idle connections to peers and platform services.
 	maxIdleConnections = 16
+	// maxHeadBytes bounds the head of an answer of a peer or a platform service.
+	maxHeadBytes = 64 << 10
 )
 
 // Intervals in seconds between two reads of the platform's services by one process, for calculating the services' load.
@@ -91,7 +93,9 @@
 		budget:       exchanger.NewByteBudget(s.ControlBytesPerSecond, budgetBurstSeconds*s.ControlBytesPerSecond, now),
 	}
 	f.budget.MaxDebt = s.ControlBytesPerSecond
-	transport := &http.Transport{DialContext: f.ControlTraffic.DialContext, MaxIdleConns: maxIdleConnections}
+	transport := &http.Transport{
+		DialContext: f.ControlTraffic.DialContext, MaxIdleConns: maxIdleConnections, MaxResponseHeaderBytes: maxHeadBytes,
+	}
 	f.peerClient = &http.Client{Transport: transport, Timeout: peerTimeout.Duration()}
 	f.platform = watcher.NewClient(s.ConfigurationService, s.VMList, transport)
 
--- a/fleet/watcher/client.go
+++ b/fleet/watcher/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 
+	"cardamompulley/fleet/checker"
 	"cardamompulley/fleet/configurator"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/timekeeper"
@@ -77,9 +78,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	response, err := c.http.Do(request)
+	response, err := c.do(request)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return nil, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusNoContent {
@@ -92,6 +93,22 @@
 	return readLimited(response.Body, configurator.MaxValueBytes)
 }
 
+// do sends a request and returns its response, whose body must be closed. Errors match ErrUnavailable.
+func (c *Client) do(request *http.Request) (*http.Response, error) {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if err := checker.CheckHead(response); err != nil {
+		_ = response.Body.Close()
+
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	response.Body = checker.NewBody(response)
+
+	return response, nil
+}
+
 func readLimited(r io.Reader, limit int) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
 	if err != nil {
@@ -116,12 +133,12 @@
 	if c.vmListETag != "" {
 		request.Header.Set("If-None-Match", c.vmListETag)
 	}
-	response, err := c.http.Do(request)
+	response, err := c.do(request)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return nil, err
 	}
 	defer response.Body.Close()
-	if response.StatusCode == http.StatusNotModified {
+	if response.StatusCode == http.StatusNotModified && c.vmListETag != "" {
 		return c.cachedVMs, nil
 	}
 	if response.StatusCode != http.StatusOK {
@@ -135,6 +152,9 @@
 	if err := json.Unmarshal(body, &vms); err != nil {
 		return nil, fmt.Errorf("%w: VM list: %w", ErrUnavailable, err)
 	}
+	if vms == nil {
+		return nil, fmt.Errorf("%w: VM list: null", ErrUnavailable)
+	}
 	c.cachedVMs = vms
 	c.vmListETag = response.Header.Get("ETag")
 
--- a/standin/internal/platform/platform.go
+++ b/standin/internal/platform/platform.go
@@ -45,7 +45,7 @@
 
 // NewPlatform returns a platform with document as configuration version 1. It returns an error if the document is invalid.
 func NewPlatform(document model.Document) (*Platform, error) {
-	p := &Platform{valuesByHash: map[string][]byte{}, versionChanged: make(chan struct{})}
+	p := &Platform{valuesByHash: map[string][]byte{}, vmList: []model.VM{}, versionChanged: make(chan struct{})}
 	if err := configurator.Validate(document); err != nil {
 		return nil, err
 	}
