worker: callers are not told what an endpoint sent to its sidecar, nor its address

What callers would see: the text of a refusal quoted the endpoint's line and named the URL at which its sidecar calls it.

Cause: the refusal held the whole error of the relayer.

Change: the refusal names the kind of the failure.

--- a/sidecar/internal/worker/execute.go
+++ b/sidecar/internal/worker/execute.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cardamompulley/fleet/admitter"
+	"cardamompulley/fleet/checker"
 	"cardamompulley/fleet/deduplicator"
 	"cardamompulley/fleet/logger"
 	"cardamompulley/fleet/messenger"
@@ -83,8 +84,8 @@
 // a suspect.
 func (w *Worker) handleRelayError(ctx context.Context, j *job, err error) *model.Refusal {
 	j.sample.HasFailed = true
-	refusal := model.NewRefusal(model.CodeEndpointFailed, err.Error()).
-		WithOutcome(model.OutcomeUnknown).WithRetryAfter(timekeeper.Second)
+	refusal := newRelayRefusal(err)
+	w.log.Write(logger.EventAttemptFailed, logger.String("attempt", j.request.AttemptId), logger.Err(err))
 	switch {
 	case errors.Is(err, errRouterDisconnected):
 		j.sample = admitter.Sample{}
@@ -122,6 +123,26 @@
 	return refusal
 }
 
+// relayReasons are what callers are told of errors of the relayer. What the endpoint has sent, and its address, are for the log alone.
+var relayReasons = []error{
+	errRouterDisconnected, errEndpointRejected, checker.ErrMalformed, relayer.ErrNotSent, relayer.ErrStalled, relayer.ErrIncomplete,
+	relayer.ErrResponseMismatch, relayer.ErrTooLarge, relayer.ErrConnectionFailed,
+}
+
+// newRelayRefusal returns the refusal for an error of the relayer after which the request may have run.
+func newRelayRefusal(err error) *model.Refusal {
+	detail := relayer.ErrConnectionFailed.Error()
+	for _, reason := range relayReasons {
+		if errors.Is(err, reason) {
+			detail = reason.Error()
+
+			break
+		}
+	}
+
+	return model.NewRefusal(model.CodeEndpointFailed, detail).WithOutcome(model.OutcomeUnknown).WithRetryAfter(timekeeper.Second)
+}
+
 // responseSink forwards a response to the router, or buffers it if the request has an idempotency key, because the response
 // of a key is stored for retries.
 type responseSink struct {
