--- a/fleet/dialer/conn.go
+++ b/fleet/dialer/conn.go
@@ -21,7 +21,7 @@
 
 	// writing is held while bytes are written.
 	writing sync.Mutex
-	// writeErr is why the latest write failed, nil if it did not. writing must be held.
+	// writeErr is why the first write that failed did. writing must be held.
 	writeErr error
 }
 
@@ -35,7 +35,9 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	c.writeErr = err
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
 
 	return n, err
 }
--- a/fleet/dialer/conn_test.go
+++ b/fleet/dialer/conn_test.go
@@ -66,3 +66,32 @@
 		})
 	}
 }
+
+// Guards against a later failure that hides the reset: after it has been reported, writes fail as they do after the peer's end.
+func TestFailureAfterResetDoesNotHideIt(t *testing.T) {
+	failures := []error{syscall.ECONNRESET, syscall.EPIPE}
+	c := NewConn(&failingConn{failures: failures})
+	for range failures {
+		_, _ = c.Write([]byte("u"))
+	}
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, ErrReset) {
+		t.Errorf("read: %v, want %v", err, ErrReset)
+	}
+}
+
+// failingConn is a connection whose writes fail in turn, and whose reader finds a plain end.
+type failingConn struct {
+	net.Conn
+	failures []error
+}
+
+func (c *failingConn) Write([]byte) (int, error) {
+	err := c.failures[0]
+	c.failures = c.failures[1:]
+
+	return 0, err
+}
+
+func (c *failingConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *failingConn) SetWriteDeadline(time.Time) error { return nil }
