forwarder: long lists of cached parts take bounded memory, however many endpoints send them

What callers would see: where a gateway asks many endpoints for their lists (after the death of all gateways, or as callers resume streams), lists near the bound of 4 MB each take far more memory than the gateway has, and its requests end with it. One endpoint in trouble alone cannot do that.

Cause: only one list had a bound, 64 are read at once, and a decoded list took ten times its bytes.

Change: all lists that are being read take 8 MB at the most, in steps as they arrive; a list that finds no room counts as not read, as one that is too long or late does. A list of 2,000 parts has 60 KB.

--- a/router/internal/forwarder/cache_list.go
+++ b/router/internal/forwarder/cache_list.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/semaphore"
 
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/model"
@@ -28,6 +30,9 @@
 	maxCacheLists = 128
 	// maxCacheListBytes is the size beyond which a list is not read.
 	maxCacheListBytes = 4 << 20
+	// maxCacheListMemory bounds the lists that are being read, in bytes. Their memory is taken in steps of cacheListStep.
+	maxCacheListMemory = 8 << 20
+	cacheListStep      = 64 << 10
 )
 
 var cacheListsRead = metrics.NewCounter("gateway_cache_lists_read_total")
@@ -38,6 +43,9 @@
 // errTooManyLists means that the gateway has read as many lists as it may for now.
 var errTooManyLists = errors.New("forwarder: too many lists of cached parts")
 
+// errListMemory means that the lists that are being read take all the memory that they may.
+var errListMemory = errors.New("forwarder: the lists of cached parts take all the memory there is for them")
+
 // cacheList is what an endpoint has cached, as it said at a time. Its other fields count once done is closed.
 type cacheList struct {
 	done   chan struct{}
@@ -57,13 +65,17 @@
 type cacheLists struct {
 	pool  *connector.Pool
 	clock timekeeper.Clock
+	// memory is what lists that are being read may still take.
+	memory *semaphore.Weighted
 
 	mu        sync.Mutex
 	byProcess map[model.EndpointProcess]*cacheList
 }
 
 func newCacheLists(p *connector.Pool, clock timekeeper.Clock) *cacheLists {
-	return &cacheLists{pool: p, clock: clock, byProcess: map[model.EndpointProcess]*cacheList{}}
+	return &cacheLists{
+		pool: p, clock: clock, memory: semaphore.NewWeighted(maxCacheListMemory), byProcess: map[model.EndpointProcess]*cacheList{},
+	}
 }
 
 // kept returns the number of tokens that an endpoint keeps of a part, by a list that is younger than maxAge.
@@ -142,7 +154,7 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	parts, err := readCacheList(response)
+	parts, err := l.readParts(response)
 	if err != nil || !conn.IsReusableAfter(response) {
 		conn.Close()
 	} else {
@@ -152,21 +164,31 @@
 	return parts, err
 }
 
-// readCacheList reads the list that a response holds. The response to a request of a caller names its attempt; it is none.
-func readCacheList(response *http.Response) ([]platform.CachedPart, error) {
+// readParts reads the list that a response holds. The response to a request of a caller names its attempt; it is none.
+func (l *cacheLists) readParts(response *http.Response) ([]platform.CachedPart, error) {
 	if platform.DecodeResponseMetadata(response.StatusCode, response.Header).AttemptID != "" {
 		return nil, errResponseMismatch
 	}
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%w: status %d", errNoCacheList, response.StatusCode)
 	}
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxCacheListBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(raw) > maxCacheListBytes {
-		return nil, fmt.Errorf("%w: more than %d bytes", errNoCacheList, maxCacheListBytes)
+	taken := int64(0)
+	defer func() { l.memory.Release(taken) }()
+	var raw bytes.Buffer
+	for {
+		if !l.memory.TryAcquire(cacheListStep) {
+			return nil, errListMemory
+		}
+		taken += cacheListStep
+		_, err := io.CopyN(&raw, response.Body, cacheListStep)
+		if errors.Is(err, io.EOF) {
+			return platform.DecodeCacheList(raw.Bytes())
+		}
+		if err != nil {
+			return nil, err
+		}
+		if raw.Len() > maxCacheListBytes {
+			return nil, fmt.Errorf("%w: more than %d bytes", errNoCacheList, maxCacheListBytes)
+		}
 	}
-
-	return platform.DecodeCacheList(raw)
 }
--- a/router/internal/forwarder/cache_list_test.go
+++ b/router/internal/forwarder/cache_list_test.go
@@ -1,11 +1,15 @@
 package forwarder
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime/debug"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -94,3 +98,61 @@
 		})
 	}
 }
+
+// Guards against lists without end, or very long ones, that take the memory of the gateway when it asks many endpoints at once.
+func TestLongCacheListsTakeBoundedMemory(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	entries := `{"held": [` + strings.Repeat(`["", "5c1e07a2", 800, "m"],`, 140_000)
+	whole := listenWithRepeatedAnswer(t, head+"Connection: close\r\n\r\n"+entries+`["", "a", 7, "m"]]}`)
+	addresses := map[string]string{
+		"bytes without end":   listenEndless(t, head+"\r\n"),
+		"entries without end": listenEndless(t, head+"\r\n"+entries),
+		"head without end":    listenEndless(t, head+"A: "),
+		"whole lists":         whole,
+	}
+	// Gateways collect garbage before they reach their memory.
+	previous := debug.SetMemoryLimit(targetMemory * 7 / 10)
+	defer debug.SetMemoryLimit(previous)
+	for name, address := range addresses {
+		t.Run(name, func(t *testing.T) {
+			f := newTestForwarder("")
+			peak := watchHeap(t)
+			var group sync.WaitGroup
+			for n := range askedEndpoints {
+				group.Go(func() {
+					e := &cataloguer.Endpoint{ID: model.EndpointID(fmt.Sprint(n)), Address: address}
+					kept, err := f.cacheLists.kept(t.Context(), e, cachedPartKey{id: 0xa, model: "m"}, timekeeper.Hour)
+					if err == nil && (kept != 7 || address != whole) {
+						t.Errorf("%d tokens are kept, by a list without end", kept)
+					}
+				})
+			}
+			group.Wait()
+			if n := peak(); n > targetMemory {
+				t.Errorf("%d MB of heap, want at most %d", n>>20, targetMemory>>20)
+			}
+		})
+	}
+}
+
+// listenWithRepeatedAnswer returns the address of an endpoint that gives one answer to each request and closes the connection.
+func listenWithRepeatedAnswer(t *testing.T, answer string) string {
+	t.Helper()
+	l := listen(t)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, answer)
+				}
+			}()
+		}
+	}()
+
+	return l.Addr().String()
+}
