checker: a status line with a control byte is none

What callers saw: an answer whose status line holds a control byte, or hides a line behind a lone carriage return, passed on as a success.

Cause: net/http does not look at the text after the status.

Shown by TestAnswerWithMalformedReasonIsNotPassedOn: before, 10 of 10 (five texts, in final and in interim answers) were a 200; now 10 of 10 get 502. A text that is empty, or has bytes above 127 or a tab, is passed over as before.

Change: the bytes that the value of a field may hold, for the text of the status line.

--- a/fleet/checker/head.go
+++ b/fleet/checker/head.go
@@ -27,6 +27,10 @@
 		return fmt.Errorf("%w: status %d", ErrMalformed, response.StatusCode)
 	}
 
+	if !httpguts.ValidHeaderFieldValue(response.Status) {
+		return fmt.Errorf("%w: the status line holds other bytes than a line may", ErrMalformed)
+	}
+
 	return CheckFields(response.Header)
 }
 
--- a/router/internal/forwarder/malformed_answer_test.go
+++ b/router/internal/forwarder/malformed_answer_test.go
@@ -174,3 +174,19 @@
 		}
 	}
 }
+
+// Guards against a status line that hides a line, or bytes that no line may hold.
+func TestAnswerWithMalformedReasonIsNotPassedOn(t *testing.T) {
+	const head = signedHead + "Content-Length: 2\r\n\r\nok"
+	for _, reason := range []string{"O\x00K", "O\x01K", "OK\rContent-Length: 40", "OK\x7f", "\x1b[2J"} {
+		t.Run(fmt.Sprintf("%q", reason), func(t *testing.T) {
+			checkNoAnswer(t, true, "HTTP/1.1 200 "+reason+"\r\n"+head)
+			checkNoAnswer(t, true, "HTTP/1.1 103 "+reason+"\r\n\r\nHTTP/1.1 200 OK\r\n"+head)
+		})
+	}
+	for _, line := range []string{"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 200 Tr\xe8s bien\t!"} {
+		if w, _ := serveAnswer(t, true, line+"\r\n"+head); w.Code != http.StatusOK || w.Body.String() != "ok" {
+			t.Errorf("%q: status %d, body %q", line, w.Code, w.Body)
+		}
+	}
+}
