--- a/router/internal/forwarder/malformed_answer_test.go
+++ b/router/internal/forwarder/malformed_answer_test.go
@@ -190,3 +190,15 @@
 		}
 	}
 }
+
+// Guards against the body of an answer that may have none: left out, and taken for the next answer on its connection.
+func TestAnswerWithBodyThatMayHaveNoneIsNotPassedOn(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"} {
+		checkNoAnswer(t, false, "HTTP/1.1 204 N\r\n"+signedHead+framing)
+	}
+	for _, framing := range []string{"", "Content-Length: 0\r\n"} {
+		if w, _ := serveAnswer(t, false, "HTTP/1.1 204 N\r\n"+signedHead+framing+"\r\n"); w.Code != http.StatusNoContent {
+			t.Errorf("%q: status %d, want 204", framing, w.Code)
+		}
+	}
+}
