--- a/router/internal/connector/conn.go
+++ b/router/internal/connector/conn.go
@@ -162,5 +162,12 @@
 
 // IsReusableAfter reports whether the connection can carry another request, given a response that was read to its end.
 func (c *Conn) IsReusableAfter(response *http.Response) bool {
-	return !response.Close && !c.isWritingBody.Load() && c.reader.Buffered() == 0 && c.idleTimeout > 0
+	return !response.Close && !c.isWritingBody.Load() && c.reader.Buffered() == 0 && c.idleTimeout > 0 && !hasUnreadBody(response)
+}
+
+// hasUnreadBody reports whether the head of a response that ends with it says that a body follows. The body may arrive later.
+func hasUnreadBody(response *http.Response) bool {
+	length := response.Header.Get("Content-Length")
+
+	return response.StatusCode == http.StatusNoContent && (length != "" && length != "0" || len(response.TransferEncoding) > 0)
 }
