dialer: a reset that a reader passes over once stays one

What callers saw: nothing yet. Where net/http looks ahead in a head it drops the error of the connection, and reads again: the system has told the reset by then and shows a plain end. Heads that are cut are errors either way, so that only the log told of an early end; a body that some later reader looks ahead in would be whole.

Change: a failure of a read that is not the end of its time is that of all later ones.

--- a/fleet/checker/head.go
+++ b/fleet/checker/head.go
@@ -26,7 +26,6 @@
 	if !isStatus(response.StatusCode) {
 		return fmt.Errorf("%w: status %d", ErrMalformed, response.StatusCode)
 	}
-
 	if !httpguts.ValidHeaderFieldValue(response.Status) {
 		return fmt.Errorf("%w: the status line holds other bytes than a line may", ErrMalformed)
 	}
--- a/fleet/checker/head_test.go
+++ b/fleet/checker/head_test.go
@@ -28,26 +28,28 @@
 		"X-A : v": true, "X A: v": true, "Content-Length : 2": true, "Transfer-Encoding : chunked": true,
 	} {
 		head := "HTTP/1.1 200 OK\r\n" + line + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
-		if err := CheckHead(read(t, head)); errors.Is(err, ErrMalformed) != isMalformed {
+		if err, _ := check(t, head); errors.Is(err, ErrMalformed) != isMalformed {
 			t.Errorf("head with %q: %v, want malformed: %v", line, err, isMalformed)
 		}
 		if strings.HasPrefix(line, "Trailer") {
 			continue
 		}
 		trailing := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line + "\r\n\r\n"
-		if _, err := io.ReadAll(NewBody(read(t, trailing))); errors.Is(err, ErrMalformed) != isMalformed {
+		if _, err := check(t, trailing); errors.Is(err, ErrMalformed) != isMalformed {
 			t.Errorf("trailing head with %q: %v, want malformed: %v", line, err, isMalformed)
 		}
 	}
 }
 
-func read(t *testing.T, answer string) *http.Response {
+// check returns what is wrong with the head of an answer, and with its body and what follows that.
+func check(t *testing.T, answer string) (head, body error) {
 	t.Helper()
 	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(answer)), &http.Request{Method: http.MethodGet})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = response.Body.Close() })
+	defer func() { _ = response.Body.Close() }()
+	_, body = io.ReadAll(NewBody(response))
 
-	return response
+	return CheckHead(response), body
 }
--- a/fleet/dialer/conn.go
+++ b/fleet/dialer/conn.go
@@ -15,10 +15,12 @@
 var ErrReset = errors.New("dialer: the connection was reset")
 
 // Conn is a connection whose reader also learns of a reset that its writer has met. The system reports a reset once, to whichever uses the
-// connection first; the other one finds a plain end, as if the peer had sent all that it had to.
+// connection first; who uses it then finds a plain end, as if the peer had sent all that it had to. It has one reader at a time.
 type Conn struct {
 	net.Conn
 
+	// readErr is why reading failed, nil if it did not or may go on. A reader that looks ahead may pass over it once.
+	readErr error
 	// writing is held while bytes are written.
 	writing sync.Mutex
 	// writeErr is why the first write that failed did. writing must be held.
@@ -45,10 +47,16 @@
 // Read implements io.Reader. It returns io.EOF only if the peer has ended what it sent, else an error that matches ErrReset. Nothing can be
 // written after either.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.readErr != nil {
+		return 0, c.readErr
+	}
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.readErr = err
+	}
 
 	return n, err
 }
--- a/fleet/dialer/conn_test.go
+++ b/fleet/dialer/conn_test.go
@@ -95,3 +95,33 @@
 func (c *failingConn) Read([]byte) (int, error) { return 0, io.EOF }
 
 func (c *failingConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against a reset that is passed over once, by a reader that looks ahead, and is a plain end then.
+func TestReadsAfterResetFailToo(t *testing.T) {
+	c := NewConn(&endedConn{errs: []error{os.ErrDeadlineExceeded, syscall.ECONNRESET, io.EOF}})
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%v, want the end of the time", err)
+	}
+	for range 3 {
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%v, want a reset", err)
+		}
+	}
+}
+
+// endedConn is a connection whose reads fail in turn, and then as the last one did.
+type endedConn struct {
+	net.Conn
+	errs []error
+}
+
+func (c *endedConn) Read([]byte) (int, error) {
+	err := c.errs[0]
+	if len(c.errs) > 1 {
+		c.errs = c.errs[1:]
+	}
+
+	return 0, err
+}
+
+func (c *endedConn) SetWriteDeadline(time.Time) error { return nil }
--- a/router/internal/connector/answer_head.go
+++ b/router/internal/connector/answer_head.go
@@ -18,9 +18,6 @@
 // ErrHeadTooLong means that the head of an answer, or the interim answers before it, do not end.
 var ErrHeadTooLong = errors.New("connector: the head of the answer is too long")
 
-// ErrMalformedHead means that an endpoint has sent other bytes than the head of an answer.
-var ErrMalformedHead = errors.New("connector: the answer has no head")
-
 // readResponseHead reads the head of the response to a request, and the interim answers before it.
 func (c *Conn) readResponseHead(method string) (*http.Response, error) {
 	c.bounded.bound(maxHeadBytes)
@@ -45,20 +42,24 @@
 
 // readHead reads the head of one answer, which may be an interim one.
 func (c *Conn) readHead(r *http.Request) (*http.Response, error) {
-	if c.isEarlierVersion() {
+	isEarlier, err := c.isEarlierVersion()
+	if err != nil {
+		return nil, err
+	}
+	if isEarlier {
 		return c.readEarlierVersion(r)
 	}
 
 	return http.ReadResponse(c.reader, r)
 }
 
-// headError returns why a head cannot be read, without the bytes that the endpoint has sent in place of one.
+// headError returns why a head cannot be read, without a long text that the endpoint has sent in place of one.
 func (c *Conn) headError(err error) error {
 	switch {
 	case c.bounded.isExhausted():
 		return ErrHeadTooLong
 	case len(err.Error()) > maxErrorBytes:
-		return ErrMalformedHead
+		return checker.ErrMalformed
 	default:
 		return err
 	}
--- a/router/internal/connector/earlier_version.go
+++ b/router/internal/connector/earlier_version.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,15 +18,21 @@
 )
 
 // isEarlierVersion reports whether the next answer is one of HTTP/1.0. It waits for no more of it than tells.
-func (c *Conn) isEarlierVersion() bool {
+func (c *Conn) isEarlierVersion() (bool, error) {
 	for i := range len(earlierVersion) {
 		start, err := c.reader.Peek(i + 1)
-		if err != nil || start[i] != earlierVersion[i] {
-			return false
+		if errors.Is(err, io.EOF) {
+			return false, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return false, err
+		}
+		if start[i] != earlierVersion[i] {
+			return false, nil
 		}
 	}
 
-	return true
+	return true, nil
 }
 
 // readEarlierVersion reads the head of an answer of HTTP/1.0, which knows neither interim answers nor transfer codings. net/http takes the marks
