--- a/router/internal/forwarder/crash_test.go
+++ b/router/internal/forwarder/crash_test.go
@@ -17,6 +17,7 @@
 	"cardamompulley/fleet/cataloguer"
 	"cardamompulley/fleet/model"
 	"cardamompulley/fleet/quarantiner"
+	"cardamompulley/fleet/scripter"
 	"cardamompulley/fleet/timekeeper"
 )
 
@@ -164,23 +165,8 @@
 // connection.
 func listenAndAnswer(t *testing.T, answer string) string {
 	t.Helper()
-	l := listen(t)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, answer)
-					_ = conn.Close()
-				}
-			}()
-		}
-	}()
 
-	return l.Addr().String()
+	return scripter.ServeAnswer(t, answer)
 }
 
 // A connection that breaks while the endpoint lives on is no crash.
--- a/router/internal/forwarder/reset_answer_test.go
+++ b/router/internal/forwarder/reset_answer_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"cardamompulley/fleet/scripter"
 )
 
 // longUploadBytes is more than the buffers of a connection take, so that an upload goes on until its endpoint reads it.
@@ -25,19 +27,11 @@
 // start returns the address at which the endpoint listens until the test ends.
 func (e *earlyEndpoint) start(t *testing.T) string {
 	t.Helper()
-	l := listen(t)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = conn.Close() })
-			go e.serve(conn.(*net.TCPConn))
-		}
-	}()
 
-	return l.Addr().String()
+	return scripter.Serve(t, func(conn *net.TCPConn) {
+		e.serve(conn)
+		<-t.Context().Done()
+	})
 }
 
 func (e *earlyEndpoint) serve(conn *net.TCPConn) {
