forwarder: the stand-in of TestRejectionsAreAShortage says that it closes its connections

Cause, in the test: its stand-in closes the connection after each answer without saying so. The forwarder keeps the connection, as it must, and at times writes the next request to it before the close arrives; a request that may run once is lost with it, and gets a true 502.

Change: "Connection: close" in its answers, as in those of room_test.go.

--- a/router/internal/forwarder/priority_test.go
+++ b/router/internal/forwarder/priority_test.go
@@ -82,7 +82,7 @@
 	} {
 		var script []string
 		for range rejections {
-			script = append(script, "HTTP/1.1 503 Full\r\nCardamompulley-Attempt-Id: a\r\nCardamompulley-Not-Executed: 1\r\n"+c.header+"Content-Length: 0\r\n\r\n")
+			script = append(script, "HTTP/1.1 503 Full\r\nCardamompulley-Attempt-Id: a\r\nCardamompulley-Not-Executed: 1\r\nConnection: close\r\n"+c.header+"Content-Length: 0\r\n\r\n")
 		}
 		f := newPriorityForwarder(listenWithAnswers(t, true, script...), true, cataloguer.Account{ID: "x"}, 0, 1)
 		for range rejections {
