dialer: the comment on Read tells both kinds of resets

A newcomer would have looked for ErrReset where the reader itself meets the reset; that error is returned as it is. No code changed.

--- a/fleet/dialer/conn.go
+++ b/fleet/dialer/conn.go
@@ -44,8 +44,8 @@
 	return n, err
 }
 
-// Read implements io.Reader. It returns io.EOF only if the peer has ended what it sent, else an error that matches ErrReset. Nothing can be
-// written after either.
+// Read implements io.Reader. It returns io.EOF only if the peer has ended what it sent. Where the writer has met the reset, the error matches
+// ErrReset; one that the reader meets is returned as it is. Nothing can be written after an end, and a failure is that of all later reads.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.readErr != nil {
 		return 0, c.readErr
