--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -14,7 +14,8 @@
 
 // cases holds the function of each case. It returns whether the rule was broken, or an error if the case could not run.
 var cases = map[string]func(*world) (bool, error){
-	"long-bodies": playLongBodies,
+	"long-bodies":      playLongBodies,
+	"unframed-streams": playUnframedStreams,
 }
 
 func main() {
@@ -22,6 +23,9 @@
 }
 
 func run(arguments []string) int {
+	if len(arguments) == 2 && arguments[0] == processRunner {
+		return runProcessRunner(arguments[1])
+	}
 	if len(arguments) != 3 || cases[arguments[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE ROUTER RECORD")
 
