--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin-3"
 mkdir -p ../../target
-GOWORK=off go build -o ../../target/review-3 .
+GOWORK=off go test -c -o ../../target/review-3 .
--- a/review/standin-3/client.go
+++ b/review/standin-3/client_test.go
@@ -1,4 +1,4 @@
-package main
+package standin3
 
 import (
 	"bufio"
--- a/review/standin-3/configuration.go
+++ b/review/standin-3/configuration_test.go
@@ -1,4 +1,4 @@
-package main
+package standin3
 
 // Names in the configuration of all cases.
 const (
--- a/review/standin-3/main.go
+++ b/review/standin-3/main_test.go
@@ -1,8 +1,9 @@
-package main
+package standin3
 
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
 // Exit statuses of a case.
@@ -16,18 +17,20 @@
 var cases = map[string]func(*world) (bool, error){
 	"long-bodies":      playLongBodies,
 	"unframed-streams": playUnframedStreams,
+	"unframed-records": playUnframedRecords,
 }
 
-func main() {
+// TestMain plays a case in place of tests.
+func TestMain(*testing.M) {
 	os.Exit(run(os.Args[1:]))
 }
 
 func run(arguments []string) int {
-	if len(arguments) == 2 && arguments[0] == processRunner {
-		return runProcessRunner(arguments[1])
+	if len(arguments) == 4 && arguments[0] == processRunner {
+		return runProcessRunner(arguments[1], arguments[2], arguments[3])
 	}
 	if len(arguments) != 3 || cases[arguments[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin3 CASE ROUTER RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-3 CASE ROUTER RECORD")
 
 		return exitFailed
 	}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store_test.go
@@ -1,4 +1,4 @@
-package main
+package standin3
 
 import (
 	"encoding/json"
@@ -11,14 +11,13 @@
 	"time"
 )
 
-// item is an entry of the store or, with Tombstone, a deletion.
+// item is an entry of the store.
 type item struct {
-	Key       string `json:"key"`
-	Value     []byte `json:"value,omitempty"`
-	Revision  uint64 `json:"revision"`
-	Created   uint64 `json:"created,omitempty"`
-	Lease     uint64 `json:"lease"`
-	Tombstone bool   `json:"tombstone,omitempty"`
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"created"`
+	Lease    uint64 `json:"lease"`
 }
 
 // pageItems is the number of items in a page of a range.
@@ -69,17 +68,6 @@
 	return time.Now()
 }
 
-// remove deletes a key and returns when the store has accepted that.
-func (s *store) remove(key string) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	delete(s.items, key)
-	s.publish(item{Key: key, Revision: s.revision, Tombstone: true})
-
-	return time.Now()
-}
-
 func (s *store) publish(event item) {
 	s.events = append(s.events, event)
 	close(s.changed)
--- a/review/standin-3/unframed_streams.go
+++ b/review/standin-3/unframed_streams_test.go
@@ -1,4 +1,4 @@
-package main
+package standin3
 
 import (
 	"bufio"
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,9 +25,15 @@
 	processRunner = "runner"
 )
 
-// runProcessRunner serves streams without a length until the process is killed. It prints its address and what it runs.
-func runProcessRunner(id string) int {
-	r, err := newRunner(id, serviceEngine, serveUnframed)
+// processServes are what runners in processes of their own can answer, by the name of the case.
+var processServes = map[string]func(*call) bool{
+	"unframed-streams": serveUnframed,
+	"unframed-records": serveUnframedRecord,
+}
+
+// runProcessRunner answers without a length until the process is killed. It prints its address and what it runs.
+func runProcessRunner(id, service, kind string) int {
+	r, err := newRunner(id, service, processServes[kind])
 	if err != nil {
 		return exitFailed
 	}
@@ -52,8 +59,8 @@
 }
 
 // startProcessRunner starts a runner as a process of its own and writes its entry into the store.
-func (w *world) startProcessRunner(id string) (*exec.Cmd, error) {
-	command := exec.Command(os.Args[0], processRunner, id)
+func (w *world) startProcessRunner(id, service, kind string) (*exec.Cmd, error) {
+	command := exec.Command(os.Args[0], processRunner, id, service, kind)
 	out, err := command.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -65,7 +72,7 @@
 	if !lines.Scan() {
 		return command, fmt.Errorf("runner %s does not start", id)
 	}
-	r := &runner{id: id, service: serviceEngine, address: lines.Text(), born: time.Now().UnixMilli()}
+	r := &runner{id: id, service: service, address: lines.Text(), born: time.Now().UnixMilli()}
 	w.store.put("servers/"+id, r.entry(0))
 	go func() {
 		for lines.Scan() {
@@ -80,6 +87,12 @@
 // event.
 func playUnframedStreams(w *world) (bool, error) {
 	w.store.put("op/config", configuration(1, route("draft", "stream", serviceEngine, 1, false)))
+
+	return w.playUnframed(serviceEngine, "unframed-streams", w.sendUnframed)
+}
+
+// playUnframed kills one of four runners while clients read. It returns whether send has returned true for any of them.
+func (w *world) playUnframed(service, kind string, send func(g *gateway, n int) bool) (bool, error) {
 	var runners []*exec.Cmd
 	defer func() {
 		for _, r := range runners {
@@ -88,8 +101,8 @@
 		}
 	}()
 	for n := range unframedRunners {
-		r, err := w.startProcessRunner(fmt.Sprintf("i-%d", n+1))
-		if r != nil {
+		r, err := w.startProcessRunner(fmt.Sprintf("i-%d", n+1), service, kind)
+		if r != nil && r.Process != nil {
 			runners = append(runners, r)
 		}
 		if err != nil {
@@ -104,7 +117,7 @@
 	var wait sync.WaitGroup
 	cut := make([]bool, unframedClients)
 	for n := range unframedClients {
-		wait.Go(func() { cut[n] = w.sendUnframed(g, n) })
+		wait.Go(func() { cut[n] = send(g, n) })
 	}
 	if w.isTroubled {
 		time.Sleep(crashAfter)
@@ -112,12 +125,8 @@
 		_ = runners[0].Process.Kill()
 	}
 	wait.Wait()
-	isBroken := false
-	for _, is := range cut {
-		isBroken = isBroken || is
-	}
 
-	return isBroken, nil
+	return slices.Contains(cut, true), nil
 }
 
 // sendUnframed returns whether the stream has ended as complete before its last event.
